--- /dev/null
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/package-info.java
@@ -0,0 +1,2 @@
+/** The process beside each backend server. */
+package org.teaselwood.agent;
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks and stateful fuzzing. */
+package org.teaselwood.bench;
--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of operators and callers. */
+package org.teaselwood.cli;
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry process: front, relay and placer. */
+package org.teaselwood.entry;
--- /dev/null
+++ b/teaselwood-model/src/main/java/org/teaselwood/model/ServiceState.java
@@ -0,0 +1,8 @@
+package org.teaselwood.model;
+
+/** Service state of a backend server, published by operators. */
+public enum ServiceState {
+    IN_SERVICE,
+    DRAINING,
+    OUT_OF_SERVICE
+}
--- /dev/null
+++ b/teaselwood-model/src/main/java/org/teaselwood/model/TeaselwoodException.java
@@ -0,0 +1,28 @@
+package org.teaselwood.model;
+
+/** The one unchecked exception of the system; carries an error kind. Immutable. */
+public final class TeaselwoodException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final ErrorKind kind;
+
+    private TeaselwoodException(ErrorKind kind, Throwable cause, Object... arguments) {
+        super(kind.message(arguments), cause);
+        this.kind = kind;
+    }
+
+    /** An error of a kind with the arguments of its message template. */
+    public static TeaselwoodException of(ErrorKind kind, Object... arguments) {
+        return new TeaselwoodException(kind, null, arguments);
+    }
+
+    /** An error of a kind with its cause. */
+    public static TeaselwoodException causedBy(Throwable cause, ErrorKind kind, Object... arguments) {
+        return new TeaselwoodException(kind, cause, arguments);
+    }
+
+    /** The kind of the error. */
+    public ErrorKind kind() {
+        return kind;
+    }
+}
--- /dev/null
+++ b/teaselwood-model/src/main/java/org/teaselwood/model/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable types shared by every package. */
+package org.teaselwood.model;
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Pure, deterministic placement decisions. */
+package org.teaselwood.policy;
--- /dev/null
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageCodec.java
@@ -0,0 +1,58 @@
+package org.teaselwood.protocol;
+
+import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.message.Message;
+
+/** Encodes a message as its number and its record in MessagePack, and decodes it. Thread-safe. */
+public final class MessageCodec {
+    /** Largest frame, in bytes. */
+    public static final int MAXIMUM_FRAME_BYTES = 1024 * 1024;
+
+    private static final int MAXIMUM_ELEMENTS = 65_536;
+    private static final RecordCodec RECORDS = new RecordCodec(MAXIMUM_ELEMENTS);
+
+    private MessageCodec() {}
+
+    /**
+     * Encodes a message.
+     *
+     * @throws TeaselwoodException of kind FRAME_TOO_LARGE
+     */
+    public static byte[] encode(Message message) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(MessageTypes.numberOf(message.getClass()));
+            RECORDS.pack(packer, message);
+            byte[] frame = packer.toByteArray();
+            if (frame.length > MAXIMUM_FRAME_BYTES) {
+                throw TeaselwoodException.of(ErrorKind.FRAME_TOO_LARGE, frame.length, MAXIMUM_FRAME_BYTES);
+            }
+            return frame;
+        } catch (IOException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    /**
+     * Decodes a frame.
+     *
+     * @throws TeaselwoodException of kind BAD_FRAME for anything but one well-formed message
+     */
+    public static Message decode(byte[] frame) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
+            int number = unpacker.unpackInt();
+            Class<? extends Message> type = MessageTypes.typeOf(number);
+            if (type == null) {
+                throw TeaselwoodException.of(ErrorKind.BAD_FRAME, "unknown message type " + number);
+            }
+            return RECORDS.unpack(unpacker, type);
+        } catch (IOException | MessagePackException | NegativeArraySizeException exception) {
+            throw TeaselwoodException.causedBy(exception, ErrorKind.BAD_FRAME, String.valueOf(exception.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageConnection.java
@@ -0,0 +1,193 @@
+package org.teaselwood.protocol;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.message.ConnectionMessage;
+import org.teaselwood.protocol.message.Message;
+
+/**
+ * Frames on one TCP connection, behind the handshake that proves the shared key. Messages may be sent from any thread;
+ * the listener is called on the event loop of the socket.
+ *
+ * <p>A malformed or oversize frame, or a peer that does not read, closes the connection. The process goes on.
+ */
+public final class MessageConnection {
+    /** Version of the protocol; a peer of another version is refused. */
+    public static final int PROTOCOL_VERSION = 1;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(MessageConnection.class);
+    private static final int LENGTH_BYTES = 4;
+    private static final int WRITE_QUEUE_BYTES = 4 * 1024 * 1024;
+
+    private final NetSocket socket;
+    private final SharedKey key;
+    private final byte[] nonce = SharedKey.newNonce();
+    private final boolean accepting;
+    private final Listener listener;
+    private final RecordParser parser;
+    private final AtomicLong bytesSent = new AtomicLong();
+    private final AtomicLong bytesReceived = new AtomicLong();
+    private boolean lengthExpected = true;
+    private volatile boolean open;
+
+    /** Told what happens on a connection, on its event loop. */
+    public interface Listener {
+        /** The handshake succeeded. */
+        void opened(MessageConnection connection);
+
+        /** A message arrived. */
+        void received(MessageConnection connection, Message message);
+
+        /** The connection is closed; nothing arrives any more. Called also when the handshake failed. */
+        void closed(MessageConnection connection);
+    }
+
+    private MessageConnection(NetSocket socket, SharedKey key, boolean accepting, Listener listener) {
+        this.socket = socket;
+        this.key = key;
+        this.accepting = accepting;
+        this.listener = listener;
+        this.parser = RecordParser.newFixed(LENGTH_BYTES, this::parsed);
+    }
+
+    /** Takes over an accepted socket. Call on its event loop. */
+    public static MessageConnection accept(NetSocket socket, SharedKey key, Listener listener) {
+        MessageConnection connection = new MessageConnection(socket, key, true, listener);
+        connection.begin();
+        connection.write(new ConnectionMessage.Challenge(PROTOCOL_VERSION, connection.nonce));
+        return connection;
+    }
+
+    /** Takes over a socket that this process connected. Call on its event loop. */
+    public static MessageConnection connect(NetSocket socket, SharedKey key, Listener listener) {
+        MessageConnection connection = new MessageConnection(socket, key, false, listener);
+        connection.begin();
+        return connection;
+    }
+
+    /** Sends a message; false when the connection is not open. */
+    public boolean send(Message message) {
+        if (!open) {
+            return false;
+        }
+        if (socket.writeQueueFull()) {
+            LOGGER.warn("peer {} does not read; closing the connection", socket.remoteAddress());
+            close();
+            return false;
+        }
+        write(message);
+        return true;
+    }
+
+    /** Closes the connection. */
+    public void close() {
+        open = false;
+        socket.close();
+    }
+
+    /** Whether the handshake succeeded and the connection is not closed. */
+    public boolean isOpen() {
+        return open;
+    }
+
+    /** Bytes sent so far, frame lengths included. */
+    public long bytesSent() {
+        return bytesSent.get();
+    }
+
+    /** Bytes received so far. */
+    public long bytesReceived() {
+        return bytesReceived.get();
+    }
+
+    private void begin() {
+        socket.setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
+        socket.handler(buffer -> {
+            bytesReceived.addAndGet(buffer.length());
+            parser.handle(buffer);
+        });
+        socket.exceptionHandler(exception -> LOGGER.debug("connection failed", exception));
+        socket.closeHandler(ignored -> {
+            open = false;
+            listener.closed(this);
+        });
+    }
+
+    private void write(Message message) {
+        byte[] frame = MessageCodec.encode(message);
+        bytesSent.addAndGet(frame.length + LENGTH_BYTES);
+        socket.write(Buffer.buffer(frame.length + LENGTH_BYTES)
+                .appendInt(frame.length)
+                .appendBytes(frame));
+    }
+
+    private void parsed(Buffer buffer) {
+        try {
+            if (lengthExpected) {
+                expectFrame(buffer.getInt(0));
+            } else {
+                lengthExpected = true;
+                parser.fixedSizeMode(LENGTH_BYTES);
+                dispatch(MessageCodec.decode(buffer.getBytes()));
+            }
+        } catch (TeaselwoodException exception) {
+            LOGGER.warn("closing the connection to {}: {}", socket.remoteAddress(), exception.getMessage());
+            close();
+        }
+    }
+
+    private void expectFrame(int length) {
+        if (length <= 0 || length > MessageCodec.MAXIMUM_FRAME_BYTES) {
+            throw TeaselwoodException.of(
+                    ErrorKind.FRAME_TOO_LARGE, Integer.toUnsignedString(length), MessageCodec.MAXIMUM_FRAME_BYTES);
+        }
+        lengthExpected = false;
+        parser.fixedSizeMode(length);
+    }
+
+    private void dispatch(Message message) {
+        switch (message) {
+            case ConnectionMessage.Challenge challenge
+            when !accepting -> {
+                requireVersion(challenge.version());
+                write(new ConnectionMessage.Proof(PROTOCOL_VERSION, nonce, key.proofOf(challenge.nonce(), false)));
+            }
+            case ConnectionMessage.Proof proof
+            when accepting && !open -> {
+                requireVersion(proof.version());
+                key.verify(nonce, proof.proof(), false);
+                write(new ConnectionMessage.Accepted(key.proofOf(proof.nonce(), true)));
+                opened();
+            }
+            case ConnectionMessage.Accepted accepted
+            when !accepting && !open -> {
+                key.verify(nonce, accepted.proof(), true);
+                opened();
+            }
+            case ConnectionMessage other ->
+                throw TeaselwoodException.of(
+                        ErrorKind.BAD_PEER, "unexpected " + other.getClass().getSimpleName());
+            case Message ordinary when open -> listener.received(this, ordinary);
+            case Message early ->
+                throw TeaselwoodException.of(
+                        ErrorKind.BAD_PEER, early.getClass().getSimpleName() + " before the handshake");
+        }
+    }
+
+    private void opened() {
+        open = true;
+        listener.opened(this);
+    }
+
+    private static void requireVersion(int version) {
+        if (version != PROTOCOL_VERSION) {
+            throw TeaselwoodException.of(ErrorKind.BAD_PEER, "protocol version " + version);
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/package-info.java
@@ -0,0 +1,2 @@
+/** The messages between the processes of the system; one record a message. */
+package org.teaselwood.protocol.message;
--- /dev/null
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between processes, their codec and connections. */
+package org.teaselwood.protocol;
--- /dev/null
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Checked INI settings. */
+package org.teaselwood.settings;
--- /dev/null
+++ b/teaselwood-store/src/main/java/org/teaselwood/store/package-info.java
@@ -0,0 +1,2 @@
+/** Key-value service client, job records and configuration declarations. */
+package org.teaselwood.store;
