Add the agent core, the worker's calls and a simulated worker

Cause: the entry core and the fuzzing need the agent's behaviour behind a pure interface before the process around it exists.

Change: AgentCore takes events with the present time and calls AgentEffects. It owns accelerators, slots, cores and memory, expires holds and commits, fences attempts, drives the worker under leases and keeps answers until they are forgotten. The worker's calls and replies are records in the protocol package, encoded in MessagePack. WorkerEngine simulates a worker without I/O, and WorkerStandIn puts it behind HTTP.

--- /dev/null
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/TaskTracker.java
@@ -0,0 +1,236 @@
+package org.teaselwood.agent.core;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.teaselwood.model.Answer;
+import org.teaselwood.model.PartPhase;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.message.AgentMessage;
+import org.teaselwood.protocol.worker.TaskIdentifier;
+import org.teaselwood.protocol.worker.WorkerCall;
+import org.teaselwood.protocol.worker.WorkerReply;
+import org.teaselwood.protocol.worker.WorkerTask;
+
+/**
+ * Moves parts from phase to phase by what the worker says of their tasks. A task that a listing lacks is lost only if
+ * the listing was asked for after the task was confirmed. Not thread-safe.
+ */
+final class TaskTracker {
+    /** A change of usage of this share is worth a report. */
+    private static final double USAGE_CHANGE = 0.1;
+
+    private final PartTable parts;
+    private final AnswerSender answers;
+    private final WorkerCalls calls;
+    private final AgentEffects effects;
+
+    TaskTracker(PartTable parts, AnswerSender answers, WorkerCalls calls, AgentEffects effects) {
+        this.parts = parts;
+        this.answers = answers;
+        this.calls = calls;
+        this.effects = effects;
+    }
+
+    /** Takes over every task of the worker and drops those that are not wanted any more. */
+    void adopted(WorkerReply.Adopted adopted, WorkerCalls.Pending pending, long now) {
+        for (WorkerReply.AdoptedTask task : adopted.tasks()) {
+            TaskIdentifier identifier = task.status().task();
+            if (parts.find(identifier) == null && !parts.fences().isFenced(identifier.attempt())) {
+                Part part = new Part(identifier, task.specification(), task.firstAccelerator());
+                part.phase = PartPhase.RUNNING;
+                part.changedAt = now;
+                part.gangDeadline = now + AgentTimings.GANG_LEASE_MILLISECONDS;
+                parts.add(part);
+                effects.logged("adopted a task of the worker", part.job());
+            }
+        }
+        listed(
+                new WorkerReply.Tasks(
+                        adopted.version(),
+                        adopted.tasks().stream()
+                                .map(WorkerReply.AdoptedTask::status)
+                                .toList()),
+                pending,
+                now);
+        parts.live().toList().forEach(part -> settleAdopted(part, pending, now));
+    }
+
+    /** Adopt renewed the lease of what runs; a part whose time is over without a trace at the worker is lost. */
+    private void settleAdopted(Part part, WorkerCalls.Pending pending, long now) {
+        if (part.phase == PartPhase.STOPPING && now >= part.stopDeadline) {
+            lose(part, "the worker did not stop the task", now);
+        } else if (part.confirmed()) {
+            part.leaseEnd = pending.sentAt() + AgentTimings.LEASE_MILLISECONDS;
+        } else if (now >= part.leaseEnd) {
+            calls.call(new WorkerCall.Stop(part.task, 0), now);
+            lose(part, "the worker never ran the task", now);
+        }
+    }
+
+    /** Applies a listing of all tasks. */
+    void listed(WorkerReply.Tasks tasks, WorkerCalls.Pending pending, long now) {
+        Map<TaskIdentifier, WorkerTask> byTask = new TreeMap<>();
+        tasks.tasks().forEach(status -> byTask.put(status.task(), status));
+        List<TaskIdentifier> unwanted = byTask.keySet().stream()
+                .filter(task -> parts.find(task) == null)
+                .toList();
+        if (!unwanted.isEmpty()) {
+            calls.call(new WorkerCall.Forget(unwanted), now);
+        }
+        tasks.tasks().stream()
+                .filter(status -> status.state() == WorkerTask.State.RUNNING)
+                .map(status -> parts.find(status.task()))
+                .filter(part -> part != null && !part.live())
+                .forEach(part -> calls.call(new WorkerCall.Stop(part.task, 0), now));
+        for (Part part : parts.live().toList()) {
+            WorkerTask status = byTask.get(part.task);
+            if (status != null) {
+                confirm(part, status, pending, now);
+            } else if (part.confirmed() && pending.token() > part.confirmedBy) {
+                lose(part, "the worker has lost the task", now);
+            }
+        }
+    }
+
+    /** Applies the reply to Run. */
+    void ran(WorkerCall.Run run, WorkerReply reply, WorkerCalls.Pending pending, long now) {
+        Part part = parts.find(run.task());
+        if (part == null || !part.live()) {
+            return;
+        }
+        if (reply instanceof WorkerReply.Ran ran) {
+            confirm(part, ran.status(), pending, now);
+        } else if (reply instanceof WorkerReply.Refused refused && !part.confirmed()) {
+            part.failure = refused.detail();
+            end(part, PartPhase.FAILED, now);
+        }
+    }
+
+    /** Extends the leases by a renewal that the worker confirmed. */
+    void renewed(WorkerCall.Renew renewal, WorkerCalls.Pending pending, long now) {
+        for (TaskIdentifier task : renewal.tasks()) {
+            Part part = parts.find(task);
+            if (part != null) {
+                part.leaseEnd = Math.max(part.leaseEnd, pending.sentAt() + renewal.leaseMilliseconds());
+            }
+        }
+    }
+
+    /** Applies the reply to FetchAnswer. */
+    void fetched(WorkerCall.FetchAnswer fetch, WorkerReply reply, long now) {
+        Part part = parts.find(fetch.task());
+        if (part == null || part.forgotten || !(part.live() || part.phase == PartPhase.SUCCEEDED)) {
+            return;
+        }
+        switch (reply) {
+            case WorkerReply.AnswerContent content -> succeed(part, content, now);
+            case WorkerReply.Refused refused -> lose(part, "its answer is lost: " + refused.detail(), now);
+            default -> part.nextCall = now + AgentTimings.WORKER_RETRY_MILLISECONDS;
+        }
+    }
+
+    /** Fetches one answer that is wanted; answers are large, so one at a time. */
+    void fetchNext(long now) {
+        if (calls.isPending(WorkerCall.FetchAnswer.class::isInstance)) {
+            return;
+        }
+        parts.all().stream()
+                .filter(part -> !part.forgotten && now >= part.nextCall)
+                .filter(part -> part.live() && part.answerReady || answers.needsFetch(part, now))
+                .findFirst()
+                .ifPresent(part -> calls.call(new WorkerCall.FetchAnswer(part.task), now));
+    }
+
+    /** Drops a part that holds nothing, here and at the worker. */
+    void forget(Part part, long now) {
+        answers.drop(part);
+        parts.drop(part);
+        if (part.phase.mayHaveRun()) {
+            calls.call(new WorkerCall.Forget(List.of(part.task)), now);
+        }
+    }
+
+    /** The task is gone and may have run. */
+    void lose(Part part, String failure, long now) {
+        part.failure = failure;
+        answers.drop(part);
+        end(part, PartPhase.LOST, now);
+    }
+
+    void tick(long now) {
+        fetchNext(now);
+        parts.live().filter(part -> now >= part.nextProgressReport).forEach(part -> reportProgress(part, now));
+    }
+
+    private void confirm(Part part, WorkerTask status, WorkerCalls.Pending pending, long now) {
+        if (!part.confirmed()) {
+            part.confirmedBy = calls.lastToken();
+            part.leaseEnd = Math.max(part.leaseEnd, pending.sentAt() + AgentTimings.LEASE_MILLISECONDS);
+            part.nextCheckpoint = now + AgentTimings.CHECKPOINT_MILLISECONDS;
+        }
+        int checkpoint = part.checkpoint;
+        part.measure(status);
+        switch (status.state()) {
+            case RUNNING -> running(part, checkpoint, now);
+            case SUCCEEDED -> {
+                part.answerReady = true;
+                part.nextCall = Math.min(part.nextCall, now);
+            }
+            case FAILED -> {
+                part.failure = status.failure();
+                end(part, PartPhase.FAILED, now);
+            }
+            case STOPPED -> end(part, PartPhase.STOPPED, now);
+            default -> lose(part, "the lease expired at the worker", now);
+        }
+    }
+
+    private void running(Part part, int earlierCheckpoint, long now) {
+        if (part.phase == PartPhase.STARTED) {
+            parts.change(part, PartPhase.RUNNING, now);
+        } else if (part.checkpoint != earlierCheckpoint) {
+            parts.report(part);
+        }
+    }
+
+    private void succeed(Part part, WorkerReply.AnswerContent content, long now) {
+        try {
+            Answer answer = Answer.verified(content.content(), content.length(), content.checksum());
+            if (part.phase != PartPhase.SUCCEEDED) {
+                part.progressPercent = 100;
+                end(part, PartPhase.SUCCEEDED, now);
+            }
+            answers.fetched(part, answer, now);
+        } catch (TeaselwoodException exception) {
+            part.failure = exception.getMessage();
+            answers.drop(part);
+            end(part, PartPhase.FAILED, now);
+        }
+    }
+
+    private void end(Part part, PartPhase phase, long now) {
+        parts.change(part, phase, now);
+        if (part.forgotten) {
+            forget(part, now);
+        }
+    }
+
+    private void reportProgress(Part part, long now) {
+        part.nextProgressReport = now + AgentTimings.PROGRESS_MILLISECONDS;
+        if (part.progressPercent != part.reportedProgress) {
+            parts.report(part);
+        }
+        if (changed(part.acceleratorsUsed, part.reportedAccelerators)
+                || changed(part.memoryMebibytes, part.reportedMemory)) {
+            part.reportedAccelerators = part.acceleratorsUsed;
+            part.reportedMemory = part.memoryMebibytes;
+            parts.usage(new AgentMessage.PartUsage(
+                    part.task.attempt(), part.task.part(), part.acceleratorsUsed, part.memoryMebibytes));
+        }
+    }
+
+    private static boolean changed(double value, double reported) {
+        return Math.abs(value - reported) > USAGE_CHANGE * Math.max(Math.abs(value), Math.abs(reported));
+    }
+}
--- /dev/null
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/package-info.java
@@ -0,0 +1,2 @@
+/** The agent core: a pure state machine that owns the resources and the running parts of one backend server. */
+package org.teaselwood.agent.core;
--- /dev/null
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/worker/WorkerCodec.java
@@ -0,0 +1,59 @@
+package org.teaselwood.protocol.worker;
+
+import java.util.List;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.RecordBody;
+
+/**
+ * Encodes calls and replies of the worker's interface: the number of the type, then the record in MessagePack.
+ * Thread-safe.
+ */
+public final class WorkerCodec {
+    private static final List<Class<? extends WorkerCall>> CALLS = List.of(
+            WorkerCall.Adopt.class,
+            WorkerCall.ListTasks.class,
+            WorkerCall.Run.class,
+            WorkerCall.Renew.class,
+            WorkerCall.Checkpoint.class,
+            WorkerCall.Throttle.class,
+            WorkerCall.Stop.class,
+            WorkerCall.FetchAnswer.class,
+            WorkerCall.Forget.class);
+    private static final List<Class<? extends WorkerReply>> REPLIES = List.of(
+            WorkerReply.Adopted.class,
+            WorkerReply.Tasks.class,
+            WorkerReply.Ran.class,
+            WorkerReply.Done.class,
+            WorkerReply.AnswerContent.class,
+            WorkerReply.Refused.class);
+
+    private WorkerCodec() {}
+
+    /** Encodes a call. */
+    public static byte[] encode(WorkerCall call) {
+        return RecordBody.encode(CALLS.indexOf(call.getClass()), (Record) call);
+    }
+
+    /** Encodes a reply; Unavailable has no encoding. */
+    public static byte[] encode(WorkerReply reply) {
+        return RecordBody.encode(REPLIES.indexOf(reply.getClass()), (Record) reply);
+    }
+
+    /**
+     * Decodes a call.
+     *
+     * @throws TeaselwoodException of kind BAD_FRAME
+     */
+    public static WorkerCall decodeCall(byte[] body) {
+        return RecordBody.decode(body, CALLS);
+    }
+
+    /**
+     * Decodes a reply.
+     *
+     * @throws TeaselwoodException of kind BAD_FRAME
+     */
+    public static WorkerReply decodeReply(byte[] body) {
+        return RecordBody.decode(body, REPLIES);
+    }
+}
--- /dev/null
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/worker/WorkerReply.java
@@ -0,0 +1,41 @@
+package org.teaselwood.protocol.worker;
+
+import java.util.List;
+import org.teaselwood.protocol.message.TaskSpecification;
+
+/** Replies of a worker to its agent. */
+public sealed interface WorkerReply {
+    /** A task with what it was run from. */
+    record AdoptedTask(WorkerTask status, TaskSpecification specification, int firstAccelerator) {}
+
+    /** Reply to Adopt: every task, finished ones included. */
+    record Adopted(long version, List<AdoptedTask> tasks) implements WorkerReply {}
+
+    /**
+     * Reply to ListTasks.
+     *
+     * @param version differs after every change of a task's state or checkpoint, and after a restart of the worker
+     */
+    record Tasks(long version, List<WorkerTask> tasks) implements WorkerReply {}
+
+    /** Reply to Run. */
+    record Ran(WorkerTask status) implements WorkerReply {}
+
+    /** The call was carried out. */
+    record Done() implements WorkerReply {}
+
+    /**
+     * Reply to FetchAnswer.
+     *
+     * @param content the bytes
+     * @param length their number
+     * @param checksum their CRC-32C
+     */
+    record AnswerContent(byte[] content, int length, int checksum) implements WorkerReply {}
+
+    /** The worker did not carry out the call and will not; the detail says why. */
+    record Refused(String detail) implements WorkerReply {}
+
+    /** No reply came; the call may have been carried out. Never sent over HTTP. */
+    record Unavailable(String detail) implements WorkerReply {}
+}
--- /dev/null
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/worker/WorkerTask.java
@@ -0,0 +1,33 @@
+package org.teaselwood.protocol.worker;
+
+/**
+ * State of one task as the worker reports it. Immutable.
+ *
+ * @param task the task
+ * @param state present state
+ * @param progressPercent 0 to 100
+ * @param checkpoint number of the newest checkpoint, 0 for none
+ * @param accelerators accelerators in use, as of the worker's last measurement
+ * @param memoryMebibytes memory in use in MiB, as of the worker's last measurement
+ * @param failure text of the failure, empty for none
+ */
+public record WorkerTask(
+        TaskIdentifier task,
+        State state,
+        int progressPercent,
+        int checkpoint,
+        double accelerators,
+        long memoryMebibytes,
+        String failure) {
+    /** State of a task at the worker. */
+    public enum State {
+        RUNNING,
+        /** Finished; its answer can be fetched until the task is forgotten. */
+        SUCCEEDED,
+        FAILED,
+        /** Stopped on request, or fenced by a stop before it ran. */
+        STOPPED,
+        /** Stopped by the worker because its lease was not renewed. */
+        LEASE_EXPIRED
+    }
+}
--- /dev/null
+++ b/teaselwood-standins/src/main/java/org/teaselwood/standins/worker/SimulatedTask.java
@@ -0,0 +1,155 @@
+package org.teaselwood.standins.worker;
+
+import org.teaselwood.protocol.message.TaskSpecification;
+import org.teaselwood.protocol.worker.TaskIdentifier;
+import org.teaselwood.protocol.worker.WorkerTask;
+
+/** One task of the stand-in. Its progress follows from the time it was given. Not thread-safe. */
+final class SimulatedTask {
+    private static final String DEFAULT_CHECKPOINT_MILLISECONDS = "50";
+    private static final int GROWTH = 2;
+
+    final TaskIdentifier task;
+
+    /** Null for a task that was stopped before it was run. */
+    final TaskSpecification specification;
+
+    final int firstAccelerator;
+    private final BuiltInCommand command;
+    private final double runMilliseconds;
+    private double workedMilliseconds;
+    private long advancedTo;
+    private long leaseEnd;
+    private long stopAt = Long.MAX_VALUE;
+    private boolean checkpointAtStop;
+    private boolean throttled;
+    private int checkpoint;
+    private int measuredPercent;
+    private long nextMeasurement;
+    private WorkerTask.State state = WorkerTask.State.RUNNING;
+    private String failure = "";
+
+    /** A task that is fenced by a stop. */
+    SimulatedTask(TaskIdentifier task) {
+        this.task = task;
+        this.specification = null;
+        this.firstAccelerator = -1;
+        this.command = BuiltInCommand.TRANSFORM;
+        this.runMilliseconds = 0;
+        this.state = WorkerTask.State.STOPPED;
+    }
+
+    /** A task that runs from now on. */
+    SimulatedTask(TaskIdentifier task, TaskSpecification specification, int firstAccelerator, BuiltInCommand command) {
+        this.task = task;
+        this.specification = specification;
+        this.firstAccelerator = firstAccelerator;
+        this.command = command;
+        this.runMilliseconds =
+                Double.parseDouble(specification.parameters().getOrDefault(BuiltInCommand.RUN_MILLISECONDS, "0"));
+    }
+
+    void begin(long now, long leaseMilliseconds) {
+        advancedTo = now;
+        leaseEnd = now + leaseMilliseconds;
+        nextMeasurement = now;
+        checkpoint = resumedCheckpoint(specification.resumeFrom());
+        workedMilliseconds = runMilliseconds * checkpoint / 100;
+    }
+
+    boolean running() {
+        return state == WorkerTask.State.RUNNING;
+    }
+
+    boolean succeeded() {
+        return state == WorkerTask.State.SUCCEEDED;
+    }
+
+    void renew(long now, long leaseMilliseconds) {
+        leaseEnd = now + leaseMilliseconds;
+    }
+
+    void throttle() {
+        throttled = true;
+    }
+
+    void fail(String reason) {
+        state = WorkerTask.State.FAILED;
+        failure = reason;
+    }
+
+    /** Takes a checkpoint, whose number is the progress in percent, so that it can be resumed on any worker. */
+    boolean takeCheckpoint() {
+        int percent = percent();
+        if (specification.checkpointable() && percent > checkpoint) {
+            checkpoint = percent;
+            return true;
+        }
+        return false;
+    }
+
+    void stop(long now, long graceMilliseconds) {
+        long needed = Long.parseLong(specification
+                .parameters()
+                .getOrDefault(BuiltInCommand.CHECKPOINT_MILLISECONDS, DEFAULT_CHECKPOINT_MILLISECONDS));
+        boolean possible = specification.checkpointable() && needed <= graceMilliseconds;
+        checkpointAtStop |= possible && stopAt == Long.MAX_VALUE;
+        stopAt = Math.min(stopAt, possible ? now + needed : now);
+    }
+
+    /** Moves the task to the given time; true if its state changed. */
+    boolean advance(long now, WorkerFaults faults, long usageLagMilliseconds) {
+        if (!running()) {
+            return false;
+        }
+        long until = Math.min(now, Math.min(leaseEnd, stopAt));
+        workedMilliseconds += Math.max(0, until - advancedTo) / faults.slowdown();
+        advancedTo = Math.max(advancedTo, until);
+        if (now >= nextMeasurement) {
+            measuredPercent = percent();
+            nextMeasurement = now + usageLagMilliseconds;
+        }
+        if (workedMilliseconds >= runMilliseconds) {
+            complete();
+        } else if (now >= stopAt && stopAt <= leaseEnd) {
+            if (checkpointAtStop) {
+                takeCheckpoint();
+            }
+            state = WorkerTask.State.STOPPED;
+        } else if (now >= leaseEnd) {
+            state = WorkerTask.State.LEASE_EXPIRED;
+        }
+        return !running();
+    }
+
+    WorkerTask status() {
+        double factor = command == BuiltInCommand.GROW && !throttled ? 1 + GROWTH * measuredPercent / 100.0 : 1;
+        boolean used = running() && specification != null;
+        return new WorkerTask(
+                task,
+                state,
+                specification == null ? 0 : percent(),
+                checkpoint,
+                used ? specification.resources().accelerators() * factor : 0,
+                used ? Math.round(specification.resources().memoryMebibytes() * factor) : 0,
+                failure);
+    }
+
+    private void complete() {
+        if (command == BuiltInCommand.FAIL) {
+            fail("the command failed");
+        } else {
+            state = WorkerTask.State.SUCCEEDED;
+        }
+    }
+
+    private int percent() {
+        return runMilliseconds <= 0 ? 100 : (int) Math.min(100, 100 * workedMilliseconds / runMilliseconds);
+    }
+
+    /** The number after the last slash of the checkpoint's text. */
+    private static int resumedCheckpoint(String resumeFrom) {
+        String number = resumeFrom.substring(resumeFrom.lastIndexOf('/') + 1);
+        return number.matches("[0-9]{1,3}") ? Math.min(100, Integer.parseInt(number)) : 0;
+    }
+}
--- /dev/null
+++ b/teaselwood-standins/src/main/java/org/teaselwood/standins/worker/WorkerStandIn.java
@@ -0,0 +1,160 @@
+package org.teaselwood.standins.worker;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.protocol.worker.TaskIdentifier;
+import org.teaselwood.protocol.worker.WorkerCall;
+import org.teaselwood.protocol.worker.WorkerCodec;
+import org.teaselwood.protocol.worker.WorkerReply;
+
+/**
+ * The worker's HTTP interface on loopback in front of a {@link WorkerEngine}; docs/worker-interface.md describes it.
+ * Besides, {@code POST /faults} with the query parameters fail, slow and lose switches faults. Thread-safe: the engine
+ * is guarded by its monitor.
+ */
+public final class WorkerStandIn implements AutoCloseable {
+    private static final int MAXIMUM_BODY_BYTES = 1024 * 1024;
+    private static final long TICK_MILLISECONDS = 10;
+    private static final long CLOSE_MILLISECONDS = 5_000;
+    private static final long USAGE_LAG_MILLISECONDS = 1_000;
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int CONFLICT = 409;
+
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final WorkerEngine engine = new WorkerEngine(clock.nowMilliseconds(), USAGE_LAG_MILLISECONDS);
+    private final Vertx vertx;
+    private final HttpServer server;
+    private final long timer;
+    private final List<WaitingListing> waiting = new ArrayList<>();
+
+    /** A listing that waits for a change. */
+    private record WaitingListing(WorkerCall.ListTasks call, long deadline, HttpServerResponse response) {}
+
+    private WorkerStandIn(Vertx vertx) {
+        this.vertx = vertx;
+        this.server = vertx.createHttpServer(new HttpServerOptions().setHost("127.0.0.1"));
+        this.timer = vertx.setPeriodic(TICK_MILLISECONDS, ignored -> tick());
+        server.requestHandler(this::handle);
+    }
+
+    /** Starts a stand-in on loopback; port 0 takes a free one. */
+    public static Future<WorkerStandIn> start(Vertx vertx, int port) {
+        WorkerStandIn standIn = new WorkerStandIn(vertx);
+        return standIn.server.listen(port).map(standIn);
+    }
+
+    /** The port that it listens on. */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /** Switches faults on or off. */
+    public synchronized void setFaults(WorkerFaults faults) {
+        engine.setFaults(faults, clock.nowMilliseconds());
+    }
+
+    /** Forgets all tasks, as after a crash. */
+    public synchronized void loseTasks() {
+        engine.loseTasks();
+    }
+
+    /** Every task that was run, once for each time. */
+    public synchronized List<TaskIdentifier> runs() {
+        return engine.runs();
+    }
+
+    @Override
+    public void close() {
+        vertx.cancelTimer(timer);
+        try {
+            server.close().toCompletionStage().toCompletableFuture().get(CLOSE_MILLISECONDS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private void handle(HttpServerRequest request) {
+        if (request.path().equals("/faults")) {
+            switchFaults(request);
+            request.response().end();
+            return;
+        }
+        Buffer body = Buffer.buffer();
+        request.handler(chunk -> {
+            if (body.length() + chunk.length() > MAXIMUM_BODY_BYTES) {
+                request.connection().close();
+            } else {
+                body.appendBuffer(chunk);
+            }
+        });
+        request.endHandler(ignored -> answer(request, body.getBytes()));
+    }
+
+    private void switchFaults(HttpServerRequest request) {
+        String slow = request.getParam("slow", "1");
+        setFaults(new WorkerFaults(
+                Boolean.parseBoolean(request.getParam("fail", "false")),
+                slow.matches("[0-9]{1,4}(\\.[0-9]{1,3})?") ? Math.max(0.001, Double.parseDouble(slow)) : 1.0));
+        if (Boolean.parseBoolean(request.getParam("lose", "false"))) {
+            loseTasks();
+        }
+    }
+
+    private synchronized void answer(HttpServerRequest request, byte[] body) {
+        HttpServerResponse response = request.response();
+        try {
+            WorkerCall call = WorkerCodec.decodeCall(body);
+            if (!call.path().equals(request.path())) {
+                respond(response, BAD_REQUEST, new WorkerReply.Refused("the body belongs to " + call.path()));
+                return;
+            }
+            long now = clock.nowMilliseconds();
+            engine.advance(now);
+            if (call instanceof WorkerCall.ListTasks listing
+                    && listing.waitMilliseconds() > 0
+                    && listing.knownVersion() == engine.version()) {
+                waiting.add(new WaitingListing(listing, now + listing.waitMilliseconds(), response));
+                return;
+            }
+            WorkerReply reply = engine.handle(call, now);
+            respond(response, reply instanceof WorkerReply.Refused ? CONFLICT : OK, reply);
+        } catch (TeaselwoodException exception) {
+            respond(response, BAD_REQUEST, new WorkerReply.Refused(exception.getMessage()));
+        }
+    }
+
+    private synchronized void tick() {
+        long now = clock.nowMilliseconds();
+        engine.advance(now);
+        List<WaitingListing> due = waiting.stream()
+                .filter(listing -> now >= listing.deadline()
+                        || listing.call().knownVersion() != engine.version()
+                        || listing.response().closed())
+                .toList();
+        waiting.removeAll(due);
+        due.stream()
+                .filter(listing -> !listing.response().closed())
+                .forEach(listing -> respond(listing.response(), OK, engine.handle(listing.call(), now)));
+    }
+
+    private static void respond(HttpServerResponse response, int status, WorkerReply reply) {
+        response.setStatusCode(status)
+                .putHeader("content-type", "application/msgpack")
+                .end(Buffer.buffer(WorkerCodec.encode(reply)));
+    }
+}
