Add the first-come first-fit scheduler

Change: servers, cells, tracked jobs and the retry rule are shared parts of the policy package. FirstFitScheduler places jobs in order of arrival at the first position that fits, for gangs, adjacency, capabilities, slots, cores and memory; it handles cancellation, lost servers and retries, and ends jobs that cannot run. The doc comment of ServerLost now states that each attempt still ends with its own AttemptEnded.

--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Cluster.java
@@ -0,0 +1,140 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.teaselwood.model.BackendServer;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.Level;
+import org.teaselwood.model.PartResources;
+import org.teaselwood.model.ServiceState;
+import org.teaselwood.model.Shape;
+
+/**
+ * The backend servers of a region and their nesting in racks and data centres. Mutable, confined to its scheduler's
+ * thread; iterates by name.
+ */
+public final class Cluster {
+    private final Map<String, ServerState> servers = new TreeMap<>();
+    private final Map<Level, Map<String, List<ServerState>>> cells = new TreeMap<>();
+    private Configuration configuration = Configuration.EMPTY;
+
+    /** The servers, by name, with those that are lost but still hold attempts. */
+    public Collection<ServerState> servers() {
+        return servers.values();
+    }
+
+    /** A server by name, null when it is not known. */
+    public ServerState find(String name) {
+        return servers.get(name);
+    }
+
+    /** The cells of a level by name; each lists its announced servers by name. */
+    public Map<String, List<ServerState>> cells(Level level) {
+        if (cells.isEmpty()) {
+            indexCells();
+        }
+        return cells.get(level);
+    }
+
+    /** Name of the cell of a level that contains a server. */
+    public static String cellName(Level level, BackendServer server) {
+        return switch (level) {
+            case SERVER -> server.name();
+            case RACK -> server.dataCentre() + "/" + server.rack();
+            case DATA_CENTRE -> server.dataCentre();
+            case REGION -> server.region();
+        };
+    }
+
+    /** Applies the service states of a configuration. */
+    public void configure(Configuration next) {
+        configuration = next;
+        servers.values().forEach(this::applyServiceState);
+    }
+
+    /** Adds a server or replaces what it announced. */
+    public void join(BackendServer server) {
+        ServerState state = servers.computeIfAbsent(server.name(), ServerState::new);
+        state.announce(server);
+        applyServiceState(state);
+        cells.clear();
+    }
+
+    /** A server takes no new work until it joins again. */
+    public void makeUnavailable(String name) {
+        ServerState state = servers.get(name);
+        if (state != null) {
+            state.setReachable(false);
+        }
+    }
+
+    /** Removes a server; what attempts hold on it is remembered until they end. */
+    public void lose(String name) {
+        ServerState state = servers.get(name);
+        if (state != null) {
+            state.lose();
+            cells.clear();
+            forgetIfGone(state);
+        }
+    }
+
+    /** Holds the parts of an attempt. */
+    public void take(List<PartPlacement> placements, PartResources part) {
+        placements.forEach(placement ->
+                servers.computeIfAbsent(placement.server(), ServerState::new).take(part, placement.firstAccelerator()));
+    }
+
+    /** Frees the parts of an attempt. */
+    public void release(List<PartPlacement> placements, PartResources part) {
+        placements.forEach(placement -> {
+            ServerState state = servers.get(placement.server());
+            if (state != null) {
+                state.release(part, placement.firstAccelerator());
+                forgetIfGone(state);
+            }
+        });
+    }
+
+    /** Whether the shape fits on the servers that the predicate accepts, if they were empty. */
+    public boolean fitsWhenEmpty(Shape shape, Predicate<ServerState> accepts) {
+        return cells(shape.adjacency()).values().stream().anyMatch(cell -> {
+            long parts = 0;
+            for (ServerState server : cell) {
+                parts += accepts.test(server) ? server.fitWhenEmpty(shape.part()) : 0;
+            }
+            return parts >= shape.parts();
+        });
+    }
+
+    /** Whether a server is able to do work that needs the capabilities. */
+    public static boolean isCapable(ServerState server, Set<String> capabilities) {
+        return server.announced() != null && server.announced().capabilities().containsAll(capabilities);
+    }
+
+    private void applyServiceState(ServerState state) {
+        state.setInService(configuration.stateOf(state.name()) == ServiceState.IN_SERVICE);
+    }
+
+    private void forgetIfGone(ServerState state) {
+        if (state.announced() == null && state.isIdle() && !state.isQuarantined()) {
+            servers.remove(state.name());
+        }
+    }
+
+    private void indexCells() {
+        for (Level level : Level.values()) {
+            Map<String, List<ServerState>> byName = new TreeMap<>();
+            servers.values().stream()
+                    .filter(state -> state.announced() != null)
+                    .forEach(state -> byName.computeIfAbsent(
+                                    cellName(level, state.announced()), name -> new ArrayList<>())
+                            .add(state));
+            cells.put(level, byName);
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/FirstFitScheduler.java
@@ -0,0 +1,321 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import org.teaselwood.model.AttemptIdentifier;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.model.Shape;
+import org.teaselwood.policy.PolicyDecision.EndJob;
+import org.teaselwood.policy.PolicyDecision.Place;
+
+/**
+ * Places jobs in the order of their arrival at the first position that fits; a job that does not fit is passed over.
+ *
+ * <p>It knows no guarantees, reclaims nothing and keeps no reservation, so large gangs wait while small jobs pass them.
+ * It is correct for gangs, adjacency, capabilities and resources, and serves as the baseline of the benchmark. The
+ * other baselines are this class with another order of servers, with a strict queue, or with servers split among teams.
+ *
+ * <p>Invariant: what attempts hold on a server never exceeds what it announced, unless an adopted attempt or a smaller
+ * announcement made it so. Confined to one thread.
+ */
+public final class FirstFitScheduler implements Scheduler {
+    /** A job that no known set of servers could run ends after this time; servers may be away briefly. */
+    static final long IMPOSSIBLE_WAIT_MILLISECONDS = 60_000;
+
+    /** A server that refused a hold takes no work for this time, because its view differs from ours. */
+    static final long REFUSAL_PAUSE_MILLISECONDS = 1_000;
+
+    private final Cluster cluster = new Cluster();
+    private final Map<JobIdentifier, TrackedJob> jobs = new TreeMap<>();
+    private final TreeMap<Long, TrackedJob> waiting = new TreeMap<>();
+    private final Set<Demand> blocked = new HashSet<>();
+    private final Map<String, Integer> waitingOfTeam = new TreeMap<>();
+    private final Comparator<ServerState> serverOrder;
+    private final boolean strictQueue;
+    private final BiPredicate<String, String> teamMayUse;
+    private Configuration configuration = Configuration.EMPTY;
+    private long nextSequence;
+
+    /** First-come first-fit over all servers. */
+    public FirstFitScheduler() {
+        this(null, false, (team, server) -> true);
+    }
+
+    /**
+     * A variant.
+     *
+     * @param serverOrder order in which the servers of a cell are filled, null for the order of their names
+     * @param strictQueue whether a job that does not fit holds up all that came after it
+     * @param teamMayUse whether the work of a team (first) may run on a server (second)
+     */
+    public FirstFitScheduler(
+            Comparator<ServerState> serverOrder, boolean strictQueue, BiPredicate<String, String> teamMayUse) {
+        this.serverOrder = serverOrder;
+        this.strictQueue = strictQueue;
+        this.teamMayUse = teamMayUse;
+    }
+
+    @Override
+    public List<PolicyDecision> handle(PolicyEvent event, long nowMilliseconds) {
+        List<PolicyDecision> decisions = new ArrayList<>();
+        switch (event) {
+            case PolicyEvent.ConfigurationChanged changed -> configure(changed.configuration());
+            case PolicyEvent.ServerJoined joined -> join(joined);
+            case PolicyEvent.ServerUnavailable unavailable -> cluster.makeUnavailable(unavailable.server());
+            case PolicyEvent.ServerLost lost -> cluster.lose(lost.server());
+            case PolicyEvent.JobSubmitted submitted -> submit(submitted.request(), decisions);
+            case PolicyEvent.JobAdopted adopted -> adopt(adopted);
+            case PolicyEvent.JobCancelled cancelled -> cancel(cancelled.job());
+            case PolicyEvent.AttemptStarted started -> start(started.attempt(), nowMilliseconds);
+            case PolicyEvent.AttemptEnded ended -> end(ended, nowMilliseconds, decisions);
+            case PolicyEvent.Tick ignored -> tick(nowMilliseconds, decisions);
+            case PolicyEvent.AttemptCheckpointed ignored -> {
+                // Nothing is ever reclaimed, so checkpoints do not matter.
+            }
+            case PolicyEvent.UsageReported ignored -> {
+                // Overuse is not limited.
+            }
+            case PolicyEvent.ProbeEnded ignored -> {
+                // No server is quarantined.
+            }
+        }
+        placeWaiting(nowMilliseconds, decisions);
+        return decisions;
+    }
+
+    private void configure(Configuration next) {
+        configuration = next;
+        cluster.configure(next);
+        blocked.clear();
+    }
+
+    private void join(PolicyEvent.ServerJoined joined) {
+        cluster.join(joined.server());
+        blocked.clear();
+    }
+
+    private void submit(JobRequest request, List<PolicyDecision> decisions) {
+        if (jobs.containsKey(request.job())) {
+            return;
+        }
+        int limit = configuration.teams().containsKey(request.team())
+                ? configuration.teams().get(request.team()).queueLimit()
+                : Integer.MAX_VALUE;
+        if (waitingOfTeam.getOrDefault(request.team(), 0) >= limit) {
+            decisions.add(
+                    new EndJob(request.job(), ErrorKind.QUEUE_FULL, List.of(request.team(), Integer.toString(limit))));
+            return;
+        }
+        TrackedJob job = new TrackedJob(request, nextSequence++);
+        jobs.put(request.job(), job);
+        enqueue(job);
+    }
+
+    private void adopt(PolicyEvent.JobAdopted adopted) {
+        TrackedJob job = jobs.computeIfAbsent(
+                adopted.request().job(), identifier -> new TrackedJob(adopted.request(), nextSequence++));
+        if (job.attempt != null) {
+            return;
+        }
+        dequeue(job);
+        job.attemptNumber = Math.max(job.attemptNumber, adopted.attempt().number());
+        job.attempt = new TrackedAttempt(
+                job, adopted.attempt(), adopted.placements(), adopted.guaranteed(), adopted.startedMilliseconds());
+        job.attempt.started = true;
+        cluster.take(adopted.placements(), job.shape().part());
+    }
+
+    private void cancel(JobIdentifier identifier) {
+        TrackedJob job = jobs.get(identifier);
+        if (job == null) {
+            return;
+        }
+        job.cancelled = true;
+        if (job.attempt == null) {
+            remove(job);
+        }
+    }
+
+    private void start(AttemptIdentifier identifier, long nowMilliseconds) {
+        TrackedAttempt attempt = find(identifier);
+        if (attempt != null) {
+            attempt.started = true;
+            attempt.startedMilliseconds = nowMilliseconds;
+        }
+    }
+
+    private TrackedAttempt find(AttemptIdentifier identifier) {
+        TrackedJob job = jobs.get(identifier.job());
+        boolean open = job != null && job.attempt != null && job.attempt.identifier.equals(identifier);
+        return open ? job.attempt : null;
+    }
+
+    private void end(PolicyEvent.AttemptEnded ended, long nowMilliseconds, List<PolicyDecision> decisions) {
+        TrackedAttempt attempt = find(ended.attempt());
+        if (attempt == null) {
+            return;
+        }
+        TrackedJob job = attempt.job;
+        job.attempt = null;
+        cluster.release(attempt.placements, job.shape().part());
+        blocked.clear();
+        if (ended.result() == AttemptResult.REFUSED) {
+            pause(ended.servers(), nowMilliseconds + REFUSAL_PAUSE_MILLISECONDS);
+        }
+        if (ended.result() == AttemptResult.FAILED) {
+            job.failures++;
+            job.failedServers.addAll(ended.servers());
+        }
+        boolean over =
+                ended.result() == AttemptResult.SUCCEEDED || ended.result() == AttemptResult.CANCELLED || job.cancelled;
+        if (over) {
+            remove(job);
+            return;
+        }
+        RetryRule.endAfter(job, attempt, ended.result())
+                .ifPresentOrElse(end -> finish(job, end, decisions), () -> enqueue(job));
+    }
+
+    private void pause(List<String> servers, long untilMilliseconds) {
+        servers.stream()
+                .map(cluster::find)
+                .filter(server -> server != null)
+                .forEach(server -> server.refuseUntil(untilMilliseconds));
+    }
+
+    private void tick(long nowMilliseconds, List<PolicyDecision> decisions) {
+        blocked.clear();
+        Map<Demand, Boolean> possible = new HashMap<>();
+        List.copyOf(waiting.values()).forEach(job -> {
+            boolean fits = possible.computeIfAbsent(
+                    demand(job), demand -> cluster.fitsWhenEmpty(job.shape(), server -> accepts(job, server)));
+            expire(job, fits, nowMilliseconds, decisions);
+        });
+    }
+
+    private void expire(TrackedJob job, boolean fits, long nowMilliseconds, List<PolicyDecision> decisions) {
+        if (nowMilliseconds > job.request.deadlineMilliseconds()) {
+            finish(job, new EndJob(job.request.job(), ErrorKind.DEADLINE_EXCEEDED, List.of()), decisions);
+            return;
+        }
+        if (fits) {
+            job.impossibleSinceMilliseconds = -1;
+        } else if (job.impossibleSinceMilliseconds < 0) {
+            job.impossibleSinceMilliseconds = nowMilliseconds;
+        } else if (nowMilliseconds - job.impossibleSinceMilliseconds >= IMPOSSIBLE_WAIT_MILLISECONDS) {
+            String needs = job.shape() + " with " + job.request.template().capabilities();
+            finish(job, new EndJob(job.request.job(), ErrorKind.IMPOSSIBLE, List.of(needs)), decisions);
+        }
+    }
+
+    private void finish(TrackedJob job, EndJob end, List<PolicyDecision> decisions) {
+        remove(job);
+        decisions.add(end);
+    }
+
+    private void remove(TrackedJob job) {
+        jobs.remove(job.request.job());
+        dequeue(job);
+    }
+
+    private void enqueue(TrackedJob job) {
+        waiting.put(job.sequence, job);
+        waitingOfTeam.merge(job.request.team(), 1, Integer::sum);
+    }
+
+    private void dequeue(TrackedJob job) {
+        if (waiting.remove(job.sequence) != null) {
+            waitingOfTeam.merge(job.request.team(), -1, Integer::sum);
+        }
+    }
+
+    private void placeWaiting(long nowMilliseconds, List<PolicyDecision> decisions) {
+        Iterator<TrackedJob> iterator = waiting.values().iterator();
+        while (iterator.hasNext()) {
+            TrackedJob job = iterator.next();
+            Demand demand = demand(job);
+            if (blocked.contains(demand) || nowMilliseconds > job.request.deadlineMilliseconds()) {
+                if (strictQueue) {
+                    return;
+                }
+                continue;
+            }
+            List<PartPlacement> placements = PartPacker.pack(
+                    cluster,
+                    job.shape(),
+                    server -> server.isUsable(nowMilliseconds) && accepts(job, server),
+                    serverOrder);
+            if (placements.isEmpty()) {
+                blocked.add(demand);
+                if (strictQueue) {
+                    return;
+                }
+                continue;
+            }
+            iterator.remove();
+            waitingOfTeam.merge(job.request.team(), -1, Integer::sum);
+            decisions.add(place(job, placements, nowMilliseconds));
+        }
+    }
+
+    private static Demand demand(TrackedJob job) {
+        return new Demand(
+                job.request.team(), job.shape(), job.request.template().capabilities(), job.failedServers);
+    }
+
+    private Place place(TrackedJob job, List<PartPlacement> placements, long nowMilliseconds) {
+        job.attemptNumber++;
+        AttemptIdentifier identifier = new AttemptIdentifier(job.request.job(), job.attemptNumber);
+        job.attempt = new TrackedAttempt(job, identifier, placements, true, nowMilliseconds);
+        cluster.take(placements, job.shape().part());
+        return new Place(identifier, job.attempt.placements, true);
+    }
+
+    private boolean accepts(TrackedJob job, ServerState server) {
+        return !job.failedServers.contains(server.name())
+                && teamMayUse.test(job.request.team(), server.name())
+                && Cluster.isCapable(server, job.request.template().capabilities());
+    }
+
+    @Override
+    public List<String> explain(JobIdentifier identifier, long nowMilliseconds) {
+        TrackedJob job = jobs.get(identifier);
+        if (job == null) {
+            return List.of("job " + identifier + " is not known");
+        }
+        if (job.attempt != null) {
+            return List.of("attempt " + job.attemptNumber + " holds " + job.attempt.placements);
+        }
+        return List.of(
+                "waits behind " + waiting.headMap(job.sequence).size() + " jobs",
+                "needs " + job.shape() + " with " + job.request.template().capabilities());
+    }
+
+    /** Guarantees are not kept by this policy, so none are refused. */
+    @Override
+    public void checkGuarantees(Configuration next) {
+        // First-come first-fit promises nothing.
+    }
+
+    @Override
+    public double fragmentation() {
+        return Fragmentation.of(cluster, waiting.values(), configuration);
+    }
+
+    private record Demand(String team, Shape shape, Set<String> capabilities, Set<String> failedServers) {
+        Demand {
+            failedServers = new TreeSet<>(failedServers);
+        }
+    }
+}
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/PolicyEvent.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/PolicyEvent.java
@@ -17,7 +17,10 @@
     /** A backend server takes no new work, because it is leaving or its agent is silent; its running work goes on. */
     record ServerUnavailable(String server) implements PolicyEvent {}
 
-    /** A backend server is gone with all that ran on it. */
+    /**
+     * A backend server is gone with all that ran on it. Every attempt with a part on it still ends with its own
+     * {@link AttemptEnded}; until then the attempt holds its parts on other servers.
+     */
     record ServerLost(String server) implements PolicyEvent {}
 
     /** A job was accepted and waits. */
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/RetryRule.java
@@ -0,0 +1,46 @@
+package org.teaselwood.policy;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.policy.PolicyDecision.EndJob;
+
+/** Decides whether a job whose attempt ended without success runs again. */
+final class RetryRule {
+    /** A job that failed on this many distinct servers cannot succeed; two may both be bad, three rarely are. */
+    static final int DISTINCT_FAILED_SERVERS = 3;
+
+    private RetryRule() {}
+
+    /** The end of the job, or empty when it goes back to its queue. The failed servers are already recorded. */
+    static Optional<EndJob> endAfter(TrackedJob job, TrackedAttempt attempt, AttemptResult result) {
+        return switch (result) {
+            case SUCCEEDED, CANCELLED, REFUSED -> Optional.empty();
+            case FAILED -> afterFailure(job);
+            case LOST -> job.request.repeatable() ? Optional.empty() : mayHaveRun(job);
+            case STOPPED ->
+                job.request.repeatable() || !attempt.started || attempt.checkpointedForStop
+                        ? Optional.empty()
+                        : mayHaveRun(job);
+        };
+    }
+
+    private static Optional<EndJob> afterFailure(TrackedJob job) {
+        if (job.failedServers.size() >= DISTINCT_FAILED_SERVERS) {
+            return Optional.of(new EndJob(
+                    job.request.job(),
+                    ErrorKind.ATTEMPTS_EXHAUSTED,
+                    List.of(Integer.toString(job.failedServers.size()), "the work failed")));
+        }
+        int attempts = Math.max(1, job.request.template().attempts());
+        if (!job.request.repeatable() || job.failures >= attempts) {
+            return Optional.of(
+                    new EndJob(job.request.job(), ErrorKind.TASK_FAILED, List.of("attempt " + job.attemptNumber)));
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<EndJob> mayHaveRun(TrackedJob job) {
+        return Optional.of(new EndJob(job.request.job(), ErrorKind.MAY_HAVE_RUN, List.of()));
+    }
+}
