--- /dev/null
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/AgentProcess.java
@@ -0,0 +1,122 @@
+package org.teaselwood.agent;
+
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.agent.core.AgentCore;
+import org.teaselwood.agent.core.AgentEffects;
+import org.teaselwood.agent.core.AgentEvent;
+import org.teaselwood.agent.core.EntryDirectory;
+import org.teaselwood.protocol.DutyThread;
+import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.protocol.SharedKey;
+import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+import org.teaselwood.protocol.message.AgentMessage;
+import org.teaselwood.protocol.worker.WorkerCall;
+
+/** Runs an agent core on its duty thread, with the connection to an entry and the worker's HTTP interface around it. */
+public final class AgentProcess implements AutoCloseable {
+    private static final Logger LOGGER = LoggerFactory.getLogger(AgentProcess.class);
+    private static final int RING_CAPACITY = 1_024;
+    private static final long TICK_MILLISECONDS = 100;
+
+    private final EntryConnector connector;
+    private final WorkerClient worker;
+    private final DutyThread<AgentEvent> duty;
+    private final CountDownLatch drained = new CountDownLatch(1);
+
+    /** Starts the agent. */
+    public AgentProcess(Vertx vertx, AgentSettings settings) {
+        EntryDirectory directory = new EntryDirectory(
+                settings.server().name(),
+                settings.server().dataCentre(),
+                settings.entries(),
+                bound -> ThreadLocalRandom.current().nextLong(bound));
+        this.connector = new EntryConnector(vertx, new SharedKey(settings.sharedKey()), directory, this::offer);
+        this.worker = new WorkerClient(vertx, settings.workerHost(), settings.workerPort());
+        AgentCore core = new AgentCore(settings.server(), UUID.randomUUID().toString(), new Effects());
+        this.duty = new DutyThread<>(
+                "agent", RING_CAPACITY, TICK_MILLISECONDS, MonotonicClock.system(), new DutyThread.Handler<>() {
+                    @Override
+                    public void handle(AgentEvent event, long nowMilliseconds) {
+                        core.handle(event, nowMilliseconds);
+                    }
+
+                    @Override
+                    public void tick(long nowMilliseconds) {
+                        core.handle(new AgentEvent.Tick(), nowMilliseconds);
+                    }
+                });
+        duty.offer(new AgentEvent.ProcessStarted());
+        connector.connect();
+    }
+
+    /** Asks the agent to leave: it takes no new work and finishes what runs. */
+    public void leave() {
+        LOGGER.info("leaving: no new work is taken");
+        while (!duty.offer(new AgentEvent.ShutdownRequested())) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Waits until a leaving agent has nothing left. */
+    public void awaitDrained() throws InterruptedException {
+        drained.await();
+    }
+
+    /** Stops at once, for tests; tasks lapse at the worker. */
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    private boolean offer(AgentEvent event) {
+        return duty.offer(event);
+    }
+
+    /** Effects of the core, called on the duty thread. */
+    private final class Effects implements AgentEffects {
+        @Override
+        public void send(long link, AgentMessage message) {
+            connector.send(link, message);
+        }
+
+        @Override
+        public void closeLink(long link) {
+            connector.close(link);
+        }
+
+        @Override
+        public void callWorker(long token, WorkerCall call) {
+            worker.call(call, reply -> duty.offer(new AgentEvent.WorkerReplied(token, reply)));
+        }
+
+        @Override
+        public void entriesChanged(String connectedEntry, List<EntryAddress> entries) {
+            connector.learned(connectedEntry, entries);
+        }
+
+        @Override
+        public void changeEntry() {
+            connector.connect();
+        }
+
+        @Override
+        public void drained() {
+            drained.countDown();
+        }
+
+        @Override
+        public void logged(String message, String job) {
+            if (job.isEmpty()) {
+                LOGGER.info(message);
+            } else {
+                LOGGER.info("{}: job {}", message, job);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/EntryConnector.java
@@ -0,0 +1,166 @@
+package org.teaselwood.agent;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.agent.core.AgentEvent;
+import org.teaselwood.agent.core.EntryDirectory;
+import org.teaselwood.protocol.MessageConnection;
+import org.teaselwood.protocol.SharedKey;
+import org.teaselwood.protocol.message.AgentCommand;
+import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+import org.teaselwood.protocol.message.AgentMessage;
+import org.teaselwood.protocol.message.Message;
+
+/**
+ * Keeps a connection to one entry. The choice of the entry and all connecting happen on one event loop; messages may be
+ * sent from any thread. A connection whose commands the core cannot take is closed, because the entry repeats them on
+ * the next one.
+ */
+final class EntryConnector {
+    private static final Logger LOGGER = LoggerFactory.getLogger(EntryConnector.class);
+    private static final int CONNECT_MILLISECONDS = 2_000;
+    private static final long HANDSHAKE_MILLISECONDS = 3_000;
+
+    private final Vertx vertx;
+    private final Context context;
+    private final NetClient client;
+    private final SharedKey key;
+    private final EntryDirectory directory;
+    private final EventSink sink;
+    private final Map<Long, MessageConnection> connections = new ConcurrentHashMap<>();
+
+    /** Touched on the event loop alone. */
+    private long lastLink;
+
+    private boolean connecting;
+
+    /** Takes the events of the core; false when the ring is full. */
+    @FunctionalInterface
+    interface EventSink {
+        boolean offer(AgentEvent event);
+    }
+
+    EntryConnector(Vertx vertx, SharedKey key, EntryDirectory directory, EventSink sink) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.client = vertx.createNetClient(
+                new NetClientOptions().setConnectTimeout(CONNECT_MILLISECONDS).setTcpNoDelay(true));
+        this.key = key;
+        this.directory = directory;
+        this.sink = sink;
+    }
+
+    /** Connects to the next entry; an open connection stays in use until the new one is open. */
+    void connect() {
+        context.runOnContext(ignored -> connectNext());
+    }
+
+    void learned(String connectedEntry, List<EntryAddress> entries) {
+        context.runOnContext(ignored -> directory.learned(connectedEntry, entries));
+    }
+
+    void send(long link, AgentMessage message) {
+        MessageConnection connection = connections.get(link);
+        if (connection != null) {
+            connection.send(message);
+        }
+    }
+
+    void close(long link) {
+        MessageConnection connection = connections.get(link);
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    private void connectNext() {
+        if (connecting) {
+            return;
+        }
+        connecting = true;
+        EntryAddress address = directory.next();
+        client.connect(address.port(), address.host())
+                .onSuccess(this::connected)
+                .onFailure(failure -> {
+                    LOGGER.warn(
+                            "cannot connect to entry {}:{}: {}", address.host(), address.port(), failure.toString());
+                    retry();
+                });
+    }
+
+    private void connected(NetSocket socket) {
+        lastLink++;
+        Link link = new Link(lastLink);
+        MessageConnection connection = MessageConnection.connect(socket, key, link);
+        vertx.setTimer(HANDSHAKE_MILLISECONDS, ignored -> {
+            if (!connection.isOpen() && !link.closed) {
+                connection.close();
+            }
+        });
+    }
+
+    private void retry() {
+        connecting = false;
+        directory.failed();
+        if (connections.isEmpty()) {
+            vertx.setTimer(directory.delayMilliseconds(), ignored -> connectUnlessConnected());
+        }
+    }
+
+    private void connectUnlessConnected() {
+        if (connections.isEmpty()) {
+            connectNext();
+        }
+    }
+
+    /** Events of one connection, on its event loop. */
+    private final class Link implements MessageConnection.Listener {
+        private final long number;
+        private boolean closed;
+
+        Link(long number) {
+            this.number = number;
+        }
+
+        @Override
+        public void opened(MessageConnection connection) {
+            connecting = false;
+            connections.put(number, connection);
+            if (!sink.offer(new AgentEvent.LinkOpened(number))) {
+                connection.close();
+            }
+        }
+
+        @Override
+        public void received(MessageConnection connection, Message message) {
+            boolean taken = message instanceof AgentCommand command
+                    && sink.offer(new AgentEvent.CommandReceived(number, command));
+            if (!taken) {
+                LOGGER.warn(
+                        "closing a connection: {} cannot be taken",
+                        message.getClass().getSimpleName());
+                connection.close();
+            }
+        }
+
+        @Override
+        public void closed(MessageConnection connection) {
+            closed = true;
+            boolean opened = connections.remove(number) != null;
+            if (opened) {
+                sink.offer(new AgentEvent.LinkClosed(number));
+            }
+            if (connections.isEmpty() && (opened || connecting)) {
+                retry();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/Main.java
@@ -0,0 +1,99 @@
+package org.teaselwood.agent;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.nio.file.Path;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.model.TeaselwoodException;
+
+/** Starts the agent process. */
+public final class Main {
+    private static final int EXIT_USAGE = 64;
+    private static final int EXIT_SETTINGS = 78;
+    private static final long BLOCKED_THREAD_CHECK_MILLISECONDS = 60_000;
+
+    @Parameter(names = "--settings", description = "INI file with the settings of the agent")
+    private String settings;
+
+    @Parameter(names = "--help", help = true, description = "Print this text")
+    private boolean help;
+
+    @Parameter(names = "--version", help = true, description = "Print the version")
+    private boolean version;
+
+    private Main() {}
+
+    /** Exits with 0, with 64 for wrong usage, or with 78 for wrong settings. */
+    public static void main(String[] arguments) {
+        int status = new Main().run(arguments);
+        if (status >= 0) {
+            System.exit(status);
+        }
+    }
+
+    /** The exit status, or -1 when the agent was started and runs. */
+    private int run(String[] arguments) {
+        JCommander commander = JCommander.newBuilder()
+                .programName("teaselwood-agent")
+                .addObject(this)
+                .build();
+        try {
+            commander.parse(arguments);
+        } catch (ParameterException exception) {
+            System.err.println("teaselwood-agent: " + exception.getMessage());
+            return EXIT_USAGE;
+        }
+        if (help) {
+            commander.usage();
+            return 0;
+        }
+        if (version) {
+            System.out.println("teaselwood-agent " + Main.class.getPackage().getImplementationVersion());
+            return 0;
+        }
+        if (settings == null) {
+            System.err.println("teaselwood-agent: --settings FILE is required");
+            return EXIT_USAGE;
+        }
+        try {
+            start(AgentSettingsReader.read(Path.of(settings)));
+            return -1;
+        } catch (TeaselwoodException exception) {
+            System.err.println("teaselwood-agent: " + exception.getMessage());
+            return EXIT_SETTINGS;
+        }
+    }
+
+    private static void start(AgentSettings agentSettings) {
+        AgentProcess process = new AgentProcess(newVertx(), agentSettings);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(process), "leave"));
+    }
+
+    /** On SIGTERM: leaves, waits until nothing is left, and exits with 0 where the JVM would exit with 143. */
+    private static void finish(AgentProcess process) {
+        try {
+            process.leave();
+            process.awaitDrained();
+            LoggerFactory.getLogger(Main.class).info("nothing is left; exiting");
+            Runtime.getRuntime().halt(0);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** One event loop, no caches of files: the resident set of the agent is limited to 64 MB. */
+    private static Vertx newVertx() {
+        return Vertx.vertx(new VertxOptions()
+                .setEventLoopPoolSize(1)
+                .setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1)
+                .setBlockedThreadCheckInterval(BLOCKED_THREAD_CHECK_MILLISECONDS)
+                .setFileSystemOptions(new FileSystemOptions()
+                        .setClassPathResolvingEnabled(false)
+                        .setFileCachingEnabled(false)));
+    }
+}
--- /dev/null
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/WorkerClient.java
@@ -0,0 +1,81 @@
+package org.teaselwood.agent;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.util.function.Consumer;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.worker.WorkerCall;
+import org.teaselwood.protocol.worker.WorkerCodec;
+import org.teaselwood.protocol.worker.WorkerReply;
+
+/**
+ * Calls the worker over HTTP. Every failure becomes {@link WorkerReply.Unavailable}: the core treats it as a call that
+ * may have been carried out. Thread-safe.
+ */
+final class WorkerClient {
+    private static final int CONNECT_MILLISECONDS = 1_000;
+    private static final long REPLY_MILLISECONDS = 5_000;
+    private static final int CONNECTIONS = 4;
+    private static final int WAITING_CALLS = 1_024;
+    private static final int MAXIMUM_REPLY_BYTES = 2 * 1024 * 1024;
+
+    private final HttpClient client;
+    private final String host;
+    private final int port;
+
+    WorkerClient(Vertx vertx, String host, int port) {
+        this.host = host;
+        this.port = port;
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setConnectTimeout(CONNECT_MILLISECONDS),
+                new PoolOptions()
+                        .setHttp1MaxSize(CONNECTIONS)
+                        .setMaxWaitQueueSize(WAITING_CALLS)
+                        .setEventLoopSize(1));
+    }
+
+    /** Sends a call; the consumer gets exactly one reply, on an event loop. */
+    void call(WorkerCall call, Consumer<WorkerReply> consumer) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(host)
+                .setPort(port)
+                .setURI(call.path())
+                .setTimeout(REPLY_MILLISECONDS + waitOf(call));
+        client.request(options)
+                .compose(request -> request.send(Buffer.buffer(WorkerCodec.encode(call))))
+                .compose(WorkerClient::readBody)
+                .map(body -> WorkerCodec.decodeReply(body.getBytes()))
+                .otherwise(failure -> new WorkerReply.Unavailable(String.valueOf(failure.getMessage())))
+                .onSuccess(consumer::accept);
+    }
+
+    private static long waitOf(WorkerCall call) {
+        return call instanceof WorkerCall.ListTasks listing ? listing.waitMilliseconds() : 0;
+    }
+
+    private static Future<Buffer> readBody(HttpClientResponse response) {
+        Promise<Buffer> promise = Promise.promise();
+        Buffer body = Buffer.buffer();
+        response.handler(chunk -> {
+            if (body.length() + chunk.length() > MAXIMUM_REPLY_BYTES) {
+                promise.tryFail(TeaselwoodException.of(ErrorKind.BODY_TOO_LARGE, MAXIMUM_REPLY_BYTES));
+                response.request().reset();
+            } else {
+                body.appendBuffer(chunk);
+            }
+        });
+        response.exceptionHandler(promise::tryFail);
+        response.endHandler(ignored -> promise.tryComplete(body));
+        return promise.future();
+    }
+}
