Add the settings reader, the key-value client and its stand-in

Cause: entries and agents need checked settings, and both the entry process and its tests need the key-value service.

Change: teaselwood-settings parses INI through commons-configuration2 and adds what that library lacks: line numbers, refusal of sections and keys that stand twice, and a schema of typed keys that reports every fault of a file at once. AgentSettings and EntrySettings are the typed records. EtcdKeyValueService speaks etcd's v3 JSON gateway: a read is tried at every endpoint, a transaction is sent once. WatchListener gains opened(), because changes before the watch is confirmed have to be read. The stand-in carries out the same calls over loopback with leases, watches and faults; InMemoryKeyValue does so in virtual time.

--- /dev/null
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/IniDocument.java
@@ -0,0 +1,112 @@
+package org.teaselwood.settings;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.apache.commons.configuration2.tree.ImmutableNode;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+
+/**
+ * An INI file with the line of every section and key. Immutable.
+ *
+ * <p>Sections and keys stand in the order of the file. A line that begins with {@code #} or {@code ;} is a comment.
+ *
+ * @param file name of the file, for error messages
+ * @param sections the sections
+ */
+public record IniDocument(String file, List<Section> sections) {
+    /** Largest file that is read, in bytes. */
+    public static final int MAXIMUM_BYTES = 1024 * 1024;
+
+    /** Copies the list. */
+    public IniDocument {
+        sections = List.copyOf(sections);
+    }
+
+    /**
+     * One section.
+     *
+     * @param name text between the brackets
+     * @param line its line, from 1
+     * @param entries its keys
+     */
+    public record Section(String name, int line, List<Entry> entries) {
+        /** Copies the list. */
+        public Section {
+            entries = List.copyOf(entries);
+        }
+
+        /** The entry of a key. */
+        public Optional<Entry> find(String key) {
+            return entries.stream().filter(entry -> entry.key().equals(key)).findFirst();
+        }
+    }
+
+    /** One key with its value; the line counts from 1. */
+    public record Entry(String key, String value, int line) {}
+
+    /**
+     * Reads a file.
+     *
+     * @param kind error kind of every fault
+     * @throws TeaselwoodException of the given kind when the file cannot be read or is not an INI file
+     */
+    public static IniDocument read(Path path, ErrorKind kind) {
+        try {
+            if (Files.size(path) > MAXIMUM_BYTES) {
+                throw TeaselwoodException.of(kind, path + ": the file exceeds " + MAXIMUM_BYTES + " bytes");
+            }
+            return parse(path.toString(), Files.readString(path, StandardCharsets.UTF_8), kind);
+        } catch (IOException exception) {
+            throw TeaselwoodException.causedBy(exception, kind, path + ": the file cannot be read: " + exception);
+        }
+    }
+
+    /**
+     * Parses text.
+     *
+     * @param kind error kind of every fault
+     * @throws TeaselwoodException of the given kind when a line is neither a section, a key nor a comment, or when a
+     *     section or key stands twice
+     */
+    public static IniDocument parse(String file, String text, ErrorKind kind) {
+        Faults faults = new Faults(file);
+        LineIndex lines = LineIndex.of(text, faults);
+        faults.throwIfAny(kind);
+        INIConfiguration configuration = new INIConfiguration();
+        configuration.setSeparatorUsedInInput("=");
+        try {
+            configuration.read(new StringReader(text));
+        } catch (ConfigurationException | IOException exception) {
+            throw TeaselwoodException.causedBy(exception, kind, file + ": " + exception.getMessage());
+        }
+        List<Section> sections = new ArrayList<>();
+        for (ImmutableNode node : configuration.getNodeModel().getNodeHandler().getRootNode()) {
+            sections.add(sectionOf(node, lines));
+        }
+        return new IniDocument(file, sections);
+    }
+
+    private static Section sectionOf(ImmutableNode node, LineIndex lines) {
+        List<Entry> entries = new ArrayList<>();
+        for (ImmutableNode child : node) {
+            String key = child.getNodeName();
+            String value = child.getValue() == null ? "" : child.getValue().toString();
+            entries.add(new Entry(key, value, lines.lineOf(node.getNodeName(), key)));
+        }
+        return new Section(node.getNodeName(), lines.lineOf(node.getNodeName(), ""), entries);
+    }
+
+    /** The section of a name. */
+    public Optional<Section> find(String name) {
+        return sections.stream().filter(section -> section.name().equals(name)).findFirst();
+    }
+}
--- /dev/null
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/ValueTypes.java
@@ -0,0 +1,219 @@
+package org.teaselwood.settings;
+
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+
+/** The value types of settings and declarations. Thread-safe. */
+public final class ValueTypes {
+    private static final Pattern QUANTITY = Pattern.compile("(\\d{1,15})\\s*([A-Za-z]*)");
+    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
+    private static final Map<String, Long> MILLISECONDS =
+            units("ms", 1L, "s", 1_000L, "min", 60_000L, "h", 3_600_000L, "d", 86_400_000L);
+    private static final Map<String, Long> MEBIBYTES = units("MiB", 1L, "GiB", 1_024L, "TiB", 1_048_576L);
+
+    private ValueTypes() {}
+
+    /** Text that is not blank. */
+    public static ValueType<String> text() {
+        return ValueTypes::notBlank;
+    }
+
+    /** A name: lower-case letters, digits, {@code .}, {@code _} and {@code -}, at most 63 characters. */
+    public static ValueType<String> name() {
+        return text -> {
+            if (!isName(text)) {
+                throw problem(quoted(text) + " is not a name of lower-case letters, digits, '.', '_' and '-'"
+                        + " (at most 63, beginning with a letter or digit)");
+            }
+            return text;
+        };
+    }
+
+    /** Whether a text is a name as {@link #name()} accepts it. */
+    public static boolean isName(String text) {
+        return NAME.matcher(text).matches();
+    }
+
+    /** A token or key; never shown in messages or logs. */
+    public static ValueType<Secret> secret() {
+        return text -> {
+            if (text.length() < Secret.MINIMUM_CHARACTERS) {
+                throw problem("a secret must have at least " + Secret.MINIMUM_CHARACTERS + " characters");
+            }
+            return new Secret(text);
+        };
+    }
+
+    /** A whole number within a range, both ends included. */
+    public static ValueType<Integer> count(int lowest, int highest) {
+        return text -> {
+            long value = parseWhole(text);
+            requireRange(value, lowest, highest, "");
+            return (int) value;
+        };
+    }
+
+    /** A decimal number within a range, both ends included. */
+    public static ValueType<Double> decimal(double lowest, double highest) {
+        return text -> {
+            double value;
+            try {
+                value = Double.parseDouble(text);
+            } catch (NumberFormatException exception) {
+                throw problem(quoted(text) + " is not a decimal number");
+            }
+            if (!(value >= lowest && value <= highest)) {
+                throw problem(text + " is not within " + lowest + " to " + highest);
+            }
+            return value;
+        };
+    }
+
+    /** A duration in milliseconds, written with its unit: ms, s, min, h or d. The range is in milliseconds. */
+    public static ValueType<Long> duration(long lowest, long highest) {
+        return text -> {
+            long value = quantity(text, MILLISECONDS, "500 ms");
+            requireRange(value, lowest, highest, " ms");
+            return value;
+        };
+    }
+
+    /** A size of memory in MiB, written with its unit: MiB, GiB or TiB. The range is in MiB. */
+    public static ValueType<Integer> memory(int lowest, int highest) {
+        return text -> {
+            long value = quantity(text, MEBIBYTES, "64 MiB");
+            requireRange(value, lowest, highest, " MiB");
+            return (int) value;
+        };
+    }
+
+    /** An IP address with a port. */
+    public static ValueType<NetworkAddress> address() {
+        return NetworkAddress::parse;
+    }
+
+    /** A path of a file; whether the file exists is not checked. */
+    public static ValueType<Path> path() {
+        return text -> {
+            try {
+                return Path.of(notBlank(text));
+            } catch (InvalidPathException exception) {
+                throw problem(quoted(text) + " is not a path");
+            }
+        };
+    }
+
+    /** One of the constants of an enumeration, written in lower case with hyphens. */
+    public static <E extends Enum<E>> ValueType<E> choice(Class<E> type) {
+        return text -> Arrays.stream(type.getEnumConstants())
+                .filter(constant -> choiceText(constant).equals(text))
+                .findFirst()
+                .orElseThrow(() -> problem(quoted(text) + " is not one of "
+                        + String.join(
+                                ", ",
+                                Arrays.stream(type.getEnumConstants())
+                                        .map(ValueTypes::choiceText)
+                                        .toList())));
+    }
+
+    /** How a constant is written in a file. */
+    public static String choiceText(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** {@code yes} or {@code no}. */
+    public static ValueType<Boolean> flag() {
+        return text -> switch (text) {
+            case "yes" -> true;
+            case "no" -> false;
+            default -> throw problem(quoted(text) + " is neither yes nor no");
+        };
+    }
+
+    /** A comma-separated list without repetitions; an empty text is the empty list. */
+    public static <T> ValueType<List<T>> listOf(ValueType<T> element) {
+        return text -> {
+            if (text.isBlank()) {
+                return List.of();
+            }
+            List<T> values = Arrays.stream(text.split(",", -1))
+                    .map(String::strip)
+                    .map(element::parse)
+                    .toList();
+            if (values.stream().distinct().count() < values.size()) {
+                throw problem("the list has an element twice");
+            }
+            return values;
+        };
+    }
+
+    /** A comma-separated list of at least one element. */
+    public static <T> ValueType<List<T>> nonEmptyListOf(ValueType<T> element) {
+        return text -> listOf(element).parse(notBlank(text));
+    }
+
+    /** A problem with a value. */
+    public static TeaselwoodException problem(String text) {
+        return TeaselwoodException.of(ErrorKind.BAD_SETTING, text);
+    }
+
+    private static String notBlank(String text) {
+        if (text.isBlank()) {
+            throw problem("the value is empty");
+        }
+        return text;
+    }
+
+    private static long parseWhole(String text) {
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException exception) {
+            throw problem(quoted(text) + " is not a whole number");
+        }
+    }
+
+    private static long quantity(String text, Map<String, Long> units, String example) {
+        Matcher matcher = QUANTITY.matcher(text);
+        if (!matcher.matches()) {
+            throw problem(quoted(text) + " is not a whole number with a unit, for example " + example);
+        }
+        Long factor = units.get(matcher.group(2));
+        if (factor == null) {
+            String given =
+                    matcher.group(2).isEmpty() ? "the unit is missing" : "the unit " + matcher.group(2) + " is unknown";
+            throw problem(given + "; use one of " + String.join(", ", units.keySet()));
+        }
+        try {
+            return Math.multiplyExact(Long.parseLong(matcher.group(1)), factor);
+        } catch (ArithmeticException exception) {
+            throw problem(quoted(text) + " is too large");
+        }
+    }
+
+    private static void requireRange(long value, long lowest, long highest, String unit) {
+        if (value < lowest || value > highest) {
+            throw problem(value + unit + " is not within " + lowest + " to " + highest + unit);
+        }
+    }
+
+    private static String quoted(String text) {
+        return "'" + text + "'";
+    }
+
+    private static Map<String, Long> units(Object... pairs) {
+        Map<String, Long> units = new LinkedHashMap<>();
+        for (int index = 0; index < pairs.length; index += 2) {
+            units.put((String) pairs[index], (Long) pairs[index + 1]);
+        }
+        return units;
+    }
+}
--- /dev/null
+++ b/teaselwood-standins/src/main/java/org/teaselwood/standins/keyvalue/KeyValueState.java
@@ -0,0 +1,160 @@
+package org.teaselwood.standins.keyvalue;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueCondition;
+import org.teaselwood.store.KeyValueOperation;
+import org.teaselwood.store.KeyValueTransaction;
+import org.teaselwood.store.TransactionResult;
+
+/**
+ * Keys, leases and watches with etcd's semantics. Deterministic and confined to one thread; the caller gives the time.
+ *
+ * <p>Every transaction that writes raises the revision by one, and so does the deletion of the keys of one lapsed
+ * lease. Leases lapse when {@link #expireLeases} is called, which every operation of the holders does first.
+ */
+public final class KeyValueState {
+    private static final byte[] NO_VALUE = {};
+    private static final long MILLISECONDS_PER_SECOND = 1_000;
+
+    private final NavigableMap<String, Stored> entries = new TreeMap<>();
+    private final NavigableMap<Long, Lease> leases = new TreeMap<>();
+    private final Set<Watch> watches = new LinkedHashSet<>();
+    private long revision = 1;
+    private long nextLease = 1;
+
+    private record Stored(KeyValue pair, long lease) {}
+
+    private record Lease(long seconds, long expiry) {}
+
+    /** Told about changes of the watched keys; deleted ones have an empty value. */
+    @FunctionalInterface
+    public interface ChangeListener {
+        /** Keys changed in one revision. */
+        void changed(List<KeyValue> changes, long revision);
+    }
+
+    /** A registered watch; identity tells two watches apart. */
+    private static final class Watch {
+        private final KeyRange range;
+        private final ChangeListener listener;
+
+        Watch(KeyRange range, ChangeListener listener) {
+            this.range = range;
+            this.listener = listener;
+        }
+    }
+
+    /** Revision after the last write; the empty service has revision 1. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Keys of a range in order. */
+    public List<KeyValue> range(KeyRange range) {
+        SortedMap<String, Stored> tail = entries.tailMap(range.from());
+        return tail.values().stream()
+                .map(Stored::pair)
+                .takeWhile(pair -> range.contains(pair.key()))
+                .toList();
+    }
+
+    /** Carries out a transaction; conditions see the state before it. */
+    public TransactionResult transact(KeyValueTransaction transaction) {
+        if (!transaction.conditions().stream().allMatch(this::holds)) {
+            return new TransactionResult(false, revision);
+        }
+        List<KeyValue> changes = new ArrayList<>();
+        transaction.operations().forEach(operation -> apply(operation, revision + 1, changes));
+        publish(changes);
+        return new TransactionResult(true, revision);
+    }
+
+    /** Grants a lease and returns its identifier. */
+    public long grantLease(long seconds, long nowMilliseconds) {
+        long lease = nextLease++;
+        leases.put(lease, new Lease(seconds, nowMilliseconds + seconds * MILLISECONDS_PER_SECOND));
+        return lease;
+    }
+
+    /** Renews a lease and returns its seconds to live, empty when it has lapsed. */
+    public Optional<Long> renewLease(long identifier, long nowMilliseconds) {
+        Lease lease = leases.get(identifier);
+        if (lease == null) {
+            return Optional.empty();
+        }
+        long expiry = nowMilliseconds + lease.seconds() * MILLISECONDS_PER_SECOND;
+        leases.put(identifier, new Lease(lease.seconds(), expiry));
+        return Optional.of(lease.seconds());
+    }
+
+    /** Deletes the keys of leases that have lapsed. */
+    public void expireLeases(long nowMilliseconds) {
+        List<Long> lapsed = leases.entrySet().stream()
+                .filter(entry -> entry.getValue().expiry() <= nowMilliseconds)
+                .map(Map.Entry::getKey)
+                .toList();
+        lapsed.forEach(this::dropLease);
+    }
+
+    /** Registers a watch; it ends when the returned handle is closed. */
+    public Runnable watch(KeyRange range, ChangeListener listener) {
+        Watch watch = new Watch(range, listener);
+        watches.add(watch);
+        return () -> watches.remove(watch);
+    }
+
+    private void dropLease(long identifier) {
+        leases.remove(identifier);
+        List<String> keys = entries.values().stream()
+                .filter(stored -> stored.lease() == identifier)
+                .map(stored -> stored.pair().key())
+                .toList();
+        List<KeyValue> changes = new ArrayList<>();
+        keys.forEach(key -> apply(new KeyValueOperation.Delete(key), revision + 1, changes));
+        publish(changes);
+    }
+
+    private boolean holds(KeyValueCondition condition) {
+        Stored stored = entries.get(condition.key());
+        return condition.revision() == (stored == null ? 0 : stored.pair().revision());
+    }
+
+    private void apply(KeyValueOperation operation, long next, List<KeyValue> changes) {
+        switch (operation) {
+            case KeyValueOperation.Put put -> {
+                KeyValue pair = new KeyValue(put.key(), put.value(), next);
+                entries.put(put.key(), new Stored(pair, put.lease()));
+                changes.add(pair);
+            }
+            case KeyValueOperation.Delete delete -> {
+                if (entries.remove(delete.key()) != null) {
+                    changes.add(new KeyValue(delete.key(), NO_VALUE, next));
+                }
+            }
+        }
+    }
+
+    private void publish(List<KeyValue> changes) {
+        if (changes.isEmpty()) {
+            return;
+        }
+        revision++;
+        for (Watch watch : List.copyOf(watches)) {
+            List<KeyValue> seen = changes.stream()
+                    .filter(change -> watch.range.contains(change.key()))
+                    .toList();
+            if (!seen.isEmpty()) {
+                watch.listener.changed(seen, revision);
+            }
+        }
+    }
+}
--- a/teaselwood-store/src/main/java/org/teaselwood/store/KeyValueService.java
+++ b/teaselwood-store/src/main/java/org/teaselwood/store/KeyValueService.java
@@ -37,6 +37,9 @@
 
     /** Told about a watch, on an event loop. */
     interface WatchListener {
+        /** The service has confirmed the watch; changes before this may have been missed and have to be read. */
+        void opened();
+
         /** Keys were written or deleted. Deleted ones have an empty value. */
         void changed(List<KeyValue> changes, long revision);
 
--- /dev/null
+++ b/teaselwood-store/src/main/java/org/teaselwood/store/etcd/EtcdKeyValueService.java
@@ -0,0 +1,203 @@
+package org.teaselwood.store.etcd;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.SocketAddress;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueService;
+import org.teaselwood.store.KeyValueTransaction;
+import org.teaselwood.store.TransactionResult;
+
+/**
+ * The key-value service through etcd's v3 JSON gateway. Thread-safe.
+ *
+ * <p>All calls use one preferred endpoint; a failure makes the next endpoint the preferred one. A read is tried once at
+ * every endpoint. A transaction, a grant and a renewal are sent once only: a repeated transaction whose first reply was
+ * lost would fail its own condition, so the caller has to read back.
+ */
+public final class EtcdKeyValueService implements KeyValueService {
+    /** Longest part of an error answer that is shown. */
+    private static final int MAXIMUM_DETAIL_CHARACTERS = 200;
+
+    private static final int MAXIMUM_CONNECTIONS = 16;
+    private static final int HTTP_OK = 200;
+
+    private final EtcdOptions options;
+    private final HttpClient connections;
+    private final WebClient client;
+    private final CallCounter calls = new CallCounter();
+    private final AtomicInteger preferred = new AtomicInteger();
+    private final Set<EtcdWatch> watches = ConcurrentHashMap.newKeySet();
+    private final Vertx vertx;
+    private volatile boolean closed;
+
+    /** A client whose connections run on the event loops of the given instance. */
+    public EtcdKeyValueService(Vertx vertx, EtcdOptions options) {
+        this.vertx = vertx;
+        this.options = options;
+        this.connections = vertx.createHttpClient(
+                new HttpClientOptions().setConnectTimeout((int) options.timeoutMilliseconds()),
+                new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS));
+        this.client = WebClient.wrap(
+                connections, new WebClientOptions().setFollowRedirects(false).setUserAgentEnabled(false));
+    }
+
+    @Override
+    public Uni<Optional<KeyValue>> get(String key) {
+        return read(EtcdJson.rangeOfKey(key), EtcdJson::pairs)
+                .map(pairs -> pairs.stream().findFirst());
+    }
+
+    @Override
+    public Uni<List<KeyValue>> list(String prefix) {
+        return read(EtcdJson.rangeOfPrefix(prefix), EtcdJson::pairs);
+    }
+
+    @Override
+    public Uni<TransactionResult> transact(KeyValueTransaction transaction) {
+        return call(CallKind.TRANSACTION, EtcdJson.transaction(transaction), EtcdJson::transactionResult);
+    }
+
+    @Override
+    public Uni<Long> grantLease(long seconds) {
+        return call(CallKind.LEASE_GRANT, EtcdJson.leaseGrant(seconds), response -> {
+            long lease = EtcdJson.number(response, "ID");
+            if (lease == 0) {
+                throw EtcdJson.malformed("no lease was granted");
+            }
+            return lease;
+        });
+    }
+
+    @Override
+    public Uni<Void> renewLease(long lease) {
+        return call(CallKind.LEASE_KEEP_ALIVE, EtcdJson.leaseKeepAlive(lease), response -> {
+                    JsonObject result = response.getJsonObject("result", new JsonObject());
+                    if (EtcdJson.number(result, "TTL") <= 0) {
+                        throw TeaselwoodException.of(ErrorKind.STORE_UNAVAILABLE, "lease " + lease + " has lapsed");
+                    }
+                    return result;
+                })
+                .replaceWithVoid();
+    }
+
+    @Override
+    public AutoCloseable watch(String prefix, WatchListener listener) {
+        calls.add(CallKind.WATCH);
+        int endpoint = preferred.get();
+        EtcdWatch watch = new EtcdWatch(listener, watches::remove, () -> endpointFailed(endpoint));
+        watches.add(watch);
+        watch.open(
+                vertx,
+                connections.request(requestOptions(CallKind.WATCH)
+                        .setMethod(HttpMethod.POST)
+                        .setServer(addressOf(endpoint))),
+                EtcdJson.watchOfPrefix(prefix),
+                options.timeoutMilliseconds());
+        return watch;
+    }
+
+    /** Number of calls so far by kind; every try at an endpoint counts. */
+    public Map<CallKind, Long> callCounts() {
+        return calls.counts();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        List.copyOf(watches).forEach(EtcdWatch::close);
+        client.close();
+        connections.close();
+    }
+
+    private <T> Uni<T> read(JsonObject request, Function<JsonObject, T> decoder) {
+        Uni<T> once = call(CallKind.RANGE, request, decoder);
+        int others = options.endpoints().size() - 1;
+        return others == 0 ? once : once.onFailure().retry().atMost(others);
+    }
+
+    private <T> Uni<T> call(CallKind kind, JsonObject request, Function<JsonObject, T> decoder) {
+        return Uni.createFrom().deferred(() -> {
+            int endpoint = preferred.get();
+            return VertxUni.from(() -> send(kind, endpoint, request))
+                    .map(response -> decoder.apply(decode(response)))
+                    .onFailure()
+                    .invoke(() -> endpointFailed(endpoint))
+                    .onFailure()
+                    .transform(EtcdKeyValueService::unavailable);
+        });
+    }
+
+    private Future<HttpResponse<Buffer>> send(CallKind kind, int endpoint, JsonObject request) {
+        if (closed) {
+            return Future.failedFuture("the client is closed");
+        }
+        calls.add(kind);
+        return client.request(HttpMethod.POST, addressOf(endpoint), requestOptions(kind))
+                .idleTimeout(options.timeoutMilliseconds())
+                .sendJsonObject(request)
+                .timeout(options.timeoutMilliseconds(), TimeUnit.MILLISECONDS);
+    }
+
+    private SocketAddress addressOf(int endpoint) {
+        return options.endpoints()
+                .get(Math.floorMod(endpoint, options.endpoints().size()));
+    }
+
+    private static RequestOptions requestOptions(CallKind kind) {
+        return new RequestOptions().setURI(kind.path()).setHost("key-value");
+    }
+
+    /** Only the first of several calls that fail at the same endpoint changes the preference. */
+    private void endpointFailed(int endpoint) {
+        preferred.compareAndSet(endpoint, endpoint + 1);
+    }
+
+    private static JsonObject decode(HttpResponse<Buffer> response) {
+        if (response.statusCode() != HTTP_OK) {
+            throw TeaselwoodException.of(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    "status " + response.statusCode() + " " + abbreviated(response.bodyAsString()));
+        }
+        JsonObject body = response.bodyAsJsonObject();
+        if (body == null) {
+            throw EtcdJson.malformed("it is empty");
+        }
+        return body;
+    }
+
+    static TeaselwoodException unavailable(Throwable failure) {
+        if (failure instanceof TeaselwoodException exception && exception.kind() == ErrorKind.STORE_UNAVAILABLE) {
+            return exception;
+        }
+        return TeaselwoodException.causedBy(
+                failure, ErrorKind.STORE_UNAVAILABLE, abbreviated(String.valueOf(failure.getMessage())));
+    }
+
+    private static String abbreviated(String text) {
+        return text == null || text.length() <= MAXIMUM_DETAIL_CHARACTERS
+                ? text
+                : text.substring(0, MAXIMUM_DETAIL_CHARACTERS);
+    }
+}
--- /dev/null
+++ b/teaselwood-store/src/main/java/org/teaselwood/store/etcd/EtcdWatch.java
@@ -0,0 +1,106 @@
+package org.teaselwood.store.etcd;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.parsetools.JsonParser;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.store.KeyValueService.WatchListener;
+
+/**
+ * One open watch: a request whose response is a stream of JSON objects. Thread-safe.
+ *
+ * <p>The listener is told of the end at most once. A watch that is not confirmed within the timeout counts as broken; a
+ * confirmed one may stay silent without limit, so its holder has to poll as well.
+ */
+final class EtcdWatch implements AutoCloseable {
+    private static final int HTTP_OK = 200;
+
+    private final WatchListener listener;
+    private final Consumer<EtcdWatch> ended;
+    private final Runnable endpointFailed;
+    private final AtomicBoolean finished = new AtomicBoolean();
+    private final AtomicBoolean confirmed = new AtomicBoolean();
+    private final JsonParser parser = JsonParser.newParser().objectValueMode();
+    private volatile HttpClientRequest stream;
+
+    EtcdWatch(WatchListener listener, Consumer<EtcdWatch> ended, Runnable endpointFailed) {
+        this.listener = listener;
+        this.ended = ended;
+        this.endpointFailed = endpointFailed;
+        parser.handler(event -> received(event.objectValue()));
+        parser.exceptionHandler(this::broken);
+    }
+
+    void open(Vertx vertx, Future<HttpClientRequest> opened, JsonObject body, long timeoutMilliseconds) {
+        vertx.setTimer(timeoutMilliseconds, timer -> {
+            if (!confirmed.get()) {
+                broken(TeaselwoodException.of(ErrorKind.STORE_UNAVAILABLE, "the watch was not confirmed in time"));
+            }
+        });
+        opened.compose(request -> {
+                    stream = request;
+                    if (finished.get()) {
+                        request.reset();
+                    }
+                    return request.putHeader("Content-Type", "application/json").send(body.toBuffer());
+                })
+                .onSuccess(this::read)
+                .onFailure(this::broken);
+    }
+
+    private void read(HttpClientResponse response) {
+        if (response.statusCode() != HTTP_OK) {
+            broken(TeaselwoodException.of(ErrorKind.STORE_UNAVAILABLE, "status " + response.statusCode()));
+            return;
+        }
+        response.exceptionHandler(this::broken);
+        response.endHandler(ignored -> broken(TeaselwoodException.of(ErrorKind.STORE_UNAVAILABLE, "the watch ended")));
+        response.handler(parser);
+    }
+
+    @Override
+    public void close() {
+        if (finished.compareAndSet(false, true)) {
+            end();
+        }
+    }
+
+    private void received(JsonObject message) {
+        JsonObject result = message.getJsonObject("result");
+        if (result == null || result.getBoolean("canceled", false)) {
+            broken(TeaselwoodException.of(ErrorKind.STORE_UNAVAILABLE, "the watch was cancelled"));
+            return;
+        }
+        if (finished.get()) {
+            return;
+        }
+        if (confirmed.compareAndSet(false, true)) {
+            listener.opened();
+        }
+        if (result.containsKey("events")) {
+            listener.changed(EtcdJson.changes(result), EtcdJson.revision(result));
+        }
+    }
+
+    private void broken(Throwable cause) {
+        if (finished.compareAndSet(false, true)) {
+            endpointFailed.run();
+            end();
+            listener.broken(EtcdKeyValueService.unavailable(cause));
+        }
+    }
+
+    private void end() {
+        ended.accept(this);
+        HttpClientRequest request = stream;
+        if (request != null) {
+            request.reset();
+        }
+    }
+}
