--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Adoption.java
@@ -0,0 +1,74 @@
+package org.teaselwood.policy;
+
+import java.util.List;
+import org.teaselwood.model.PartResources;
+
+/** Finds the unit in which an adopted attempt runs. Confined to its scheduler's thread. */
+final class Adoption {
+    private final PolicyState state;
+
+    Adoption(PolicyState state) {
+        this.state = state;
+    }
+
+    /**
+     * Lets a guaranteed attempt enter a unit of its team that covers its positions, or an empty one that can be put
+     * there. Work that must not stop and has no unit gets one of its own.
+     */
+    boolean enterUnit(TrackedJob job) {
+        if (job.attempt.guaranteed && (enterCovering(job) || enterMoved(job))) {
+            return true;
+        }
+        if (job.mayBorrow()) {
+            return false;
+        }
+        List<GuaranteeUnit> inTheWay = state.packer.overlapping(job.shape().part(), job.positions());
+        if (inTheWay.stream().anyMatch(unit -> !unit.isEmpty())) {
+            return false;
+        }
+        inTheWay.forEach(state.plan::lift);
+        state.plan.addExcess(job);
+        return true;
+    }
+
+    private boolean enterCovering(TrackedJob job) {
+        for (GuaranteeUnit unit : state.plan.unitsOf(job.request.team())) {
+            if (unit.isPlaced() && !unit.excess && covers(unit, job)) {
+                state.plan.enter(unit, job);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean covers(GuaranteeUnit unit, TrackedJob job) {
+        PartResources part = job.shape().part();
+        return job.positions().stream().map(PartPlacement::server).distinct().allMatch(server -> {
+            long parts = job.attempt.partsOn(server);
+            long bits = job.attempt.acceleratorsOn(server);
+            Holding area = unit.area.getOrDefault(server, Holding.NOTHING);
+            Holding occupied = unit.occupied.getOrDefault(server, Holding.NOTHING);
+            return (bits & ~(area.accelerators & ~occupied.accelerators)) == 0
+                    && parts * part.cores() <= area.cores - occupied.cores
+                    && parts * part.memoryMebibytes() <= area.memoryMebibytes - occupied.memoryMebibytes
+                    && parts * part.slots() <= area.slots - occupied.slots;
+        });
+    }
+
+    private boolean enterMoved(TrackedJob job) {
+        for (GuaranteeUnit unit : state.plan.unitsOf(job.request.team())) {
+            boolean alike = unit.isEmpty()
+                    && !unit.excess
+                    && unit.shape.parts() == job.shape().parts()
+                    && unit.shape.part().accelerators() == job.shape().part().accelerators();
+            if (alike && state.packer.moveTo(unit, job.positions())) {
+                if (covers(unit, job)) {
+                    state.plan.enter(unit, job);
+                    return true;
+                }
+                return false;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/AttemptEvents.java
@@ -0,0 +1,190 @@
+package org.teaselwood.policy;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaselwood.model.AttemptIdentifier;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.policy.PolicyDecision.EndJob;
+import org.teaselwood.policy.PolicyDecision.Throttle;
+
+/** Applies what happens to attempts. Each method returns whether a pass should follow. Confined to one thread. */
+final class AttemptEvents {
+    /** Usage up to this factor over the declaration is measurement error. */
+    private static final double TOLERANCE = 1.1;
+
+    /** Reports above the declaration in a row before the attempt is throttled; usage is reported with a lag. */
+    static final int REPORTS_BEFORE_THROTTLE = 2;
+
+    /** Reports above the declaration in a row before a throttled attempt is stopped. */
+    static final int REPORTS_BEFORE_STOP = 5;
+
+    /** A job stopped this often for overuse ends. */
+    static final int MOST_OVERUSE_STOPS = 2;
+
+    /** A job whose attempts were lost this often probably brings its servers down. */
+    static final int MOST_LOSSES = 8;
+
+    private final PolicyState state;
+
+    AttemptEvents(PolicyState state) {
+        this.state = state;
+    }
+
+    /** Takes over an attempt that another placer started. The packing of units is restored with the next pass. */
+    boolean adopt(PolicyEvent.JobAdopted adopted) {
+        TrackedJob known = state.jobs.get(adopted.request().job());
+        TrackedJob job = known != null ? known : state.newJob(adopted.request());
+        if (job.attempt != null) {
+            return false;
+        }
+        if (job.claim != null) {
+            state.dropClaim(job);
+        }
+        state.queue.remove(job);
+        job.attemptNumber = Math.max(job.attemptNumber, adopted.attempt().number());
+        TrackedAttempt attempt = new TrackedAttempt(
+                job, adopted.attempt(), adopted.placements(), adopted.guaranteed(), adopted.startedMilliseconds());
+        attempt.started = true;
+        state.open(job, attempt);
+        if (!new Adoption(state).enterUnit(job)) {
+            state.becomeBorrowed(job);
+        }
+        state.restoreNeeded = true;
+        return false;
+    }
+
+    boolean start(AttemptIdentifier identifier) {
+        TrackedAttempt attempt = state.openAttempt(identifier);
+        if (attempt != null && !attempt.started) {
+            attempt.started = true;
+            attempt.startedMilliseconds = state.now;
+            attempt.safeUntilMilliseconds = state.now;
+        }
+        return false;
+    }
+
+    boolean checkpoint(AttemptIdentifier identifier) {
+        TrackedAttempt attempt = state.openAttempt(identifier);
+        if (attempt != null) {
+            attempt.safeUntilMilliseconds = state.now;
+            attempt.checkpointedForStop |= attempt.isStopping();
+        }
+        return false;
+    }
+
+    boolean end(PolicyEvent.AttemptEnded ended) {
+        TrackedAttempt attempt = state.openAttempt(ended.attempt());
+        if (attempt == null) {
+            return false;
+        }
+        TrackedJob job = attempt.job;
+        state.close(job);
+        boolean over =
+                job.cancelled || ended.result() == AttemptResult.CANCELLED || ended.result() == AttemptResult.SUCCEEDED;
+        if (ended.result() == AttemptResult.SUCCEEDED) {
+            succeed(job, attempt);
+        }
+        if (over) {
+            state.forget(job);
+            return true;
+        }
+        Optional<EndJob> end = afterLoss(job, attempt, ended);
+        if (end.isPresent()) {
+            state.end(job, end.get().kind(), end.get().arguments());
+        } else {
+            state.queue.add(job, state.now);
+            state.teamsToTry.add(job.request.team());
+        }
+        return true;
+    }
+
+    private void succeed(TrackedJob job, TrackedAttempt attempt) {
+        long ran = job.savedMilliseconds + state.now - attempt.startedMilliseconds;
+        state.runTimes.record(job.request.team(), job.request.template(), ran);
+        state.serversOf(attempt.placements).forEach(server -> state.health.succeeded(server.name()));
+    }
+
+    /** Records what an attempt without success means for its job and servers. */
+    private Optional<EndJob> afterLoss(TrackedJob job, TrackedAttempt attempt, PolicyEvent.AttemptEnded ended) {
+        switch (ended.result()) {
+            case REFUSED -> state.pause(ended.servers());
+            case FAILED -> fail(job, ended.servers());
+            case LOST, STOPPED -> save(job, attempt);
+            default -> throw new IllegalStateException("the job is over");
+        }
+        if (ended.result() == AttemptResult.LOST) {
+            job.losses++;
+        }
+        if (attempt.stoppedForOveruse && job.overuseStops >= MOST_OVERUSE_STOPS) {
+            return Optional.of(
+                    new EndJob(job.request.job(), ErrorKind.TASK_FAILED, List.of("it used more than it declared")));
+        }
+        if (job.losses >= MOST_LOSSES) {
+            return Optional.of(new EndJob(
+                    job.request.job(),
+                    ErrorKind.ATTEMPTS_EXHAUSTED,
+                    List.of(Integer.toString(job.losses), "the backend server was lost")));
+        }
+        Optional<EndJob> end = RetryRule.endAfter(job, attempt, ended.result());
+        boolean retry = end.isEmpty() && ended.result() == AttemptResult.FAILED;
+        if (retry && !state.retries.take(job.request.team(), state.now)) {
+            return Optional.of(new EndJob(
+                    job.request.job(),
+                    ErrorKind.RETRY_BUDGET_EXHAUSTED,
+                    List.of(job.request.team(), "the work failed")));
+        }
+        return end;
+    }
+
+    private void save(TrackedJob job, TrackedAttempt attempt) {
+        if (job.request.template().checkpointable()) {
+            job.savedMilliseconds += Math.max(0, attempt.safeUntilMilliseconds - attempt.startedMilliseconds);
+        }
+    }
+
+    private void fail(TrackedJob job, List<String> servers) {
+        job.failures++;
+        job.failedServers.addAll(servers);
+        if (job.failedServers.size() >= RetryRule.DISTINCT_FAILED_SERVERS) {
+            state.health.clear(job.request.job());
+        }
+        for (String server : servers) {
+            if (state.health.failed(server, job.request.job(), state.now, state.decisions)) {
+                state.restoreNeeded = true;
+                forgive(server);
+            }
+        }
+    }
+
+    /** Failures on a server that turned out bad do not count against the jobs that failed there. */
+    private void forgive(String server) {
+        for (TrackedJob job : state.jobs.values()) {
+            if (job.failedServers.remove(server)) {
+                job.failures = Math.max(0, job.failures - 1);
+            }
+        }
+    }
+
+    /** Throttles an attempt that keeps using more than it declared, then stops it. */
+    boolean reportUsage(PolicyEvent.UsageReported reported) {
+        TrackedAttempt attempt = state.openAttempt(reported.attempt());
+        if (attempt == null || attempt.isStopping()) {
+            return false;
+        }
+        TrackedJob job = attempt.job;
+        int declaredMemory = job.shape().part().memoryMebibytes();
+        boolean over = reported.accelerators() > job.accelerators() * TOLERANCE
+                || declaredMemory > 0 && reported.memoryMebibytes() > declaredMemory * TOLERANCE;
+        attempt.overuseReports = over ? attempt.overuseReports + 1 : 0;
+        if (attempt.overuseReports >= REPORTS_BEFORE_THROTTLE && !attempt.throttled) {
+            attempt.throttled = true;
+            state.decisions.add(new Throttle(attempt.identifier));
+        }
+        if (attempt.overuseReports >= REPORTS_BEFORE_STOP) {
+            attempt.stoppedForOveruse = true;
+            job.overuseStops++;
+            state.reclaim(attempt, "it uses more than it declared");
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/ClaimStarts.java
@@ -0,0 +1,74 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Starts jobs with claims once the attempts in their way have stopped. Confined to its scheduler's thread. */
+final class ClaimStarts {
+    /** A claim is given up after this time, because an attempt in its way did not stop. */
+    static final long LONGEST_CLAIM_MILLISECONDS = 15_000;
+
+    private final PolicyState state;
+
+    ClaimStarts(PolicyState state) {
+        this.state = state;
+    }
+
+    /** Starts the jobs whose positions are free. */
+    void run() {
+        for (TrackedJob job : List.copyOf(state.claims.values())) {
+            if (isFree(job)) {
+                GuaranteeUnit unit = job.unit;
+                List<PartPlacement> placements = job.claim.placements();
+                state.dropClaim(job);
+                state.place(job, placements, unit);
+            }
+        }
+    }
+
+    private boolean isFree(TrackedJob job) {
+        Map<String, Holding> wanted = new TreeMap<>();
+        for (PartPlacement placement : job.claim.placements()) {
+            wanted.computeIfAbsent(placement.server(), name -> new Holding())
+                    .add(job.shape().part(), placement.firstAccelerator());
+        }
+        return wanted.entrySet().stream().allMatch(entry -> {
+            ServerState server = state.cluster.find(entry.getKey());
+            Holding holding = entry.getValue();
+            return server != null
+                    && state.mayStart(job, server)
+                    && (server.freeAccelerators() & holding.accelerators) == holding.accelerators
+                    && server.announced().cores() - server.held.cores >= holding.cores
+                    && server.announced().memoryMebibytes() - server.held.memoryMebibytes >= holding.memoryMebibytes
+                    && server.announced().slots() - server.held.slots >= holding.slots;
+        });
+    }
+
+    /** Gives up claims whose victims did not stop. */
+    void dropStale() {
+        List<TrackedJob> stale = new ArrayList<>();
+        for (TrackedJob job : state.claims.values()) {
+            if (state.now - job.claim.sinceMilliseconds() >= LONGEST_CLAIM_MILLISECONDS) {
+                stale.add(job);
+            }
+        }
+        stale.forEach(this::drop);
+    }
+
+    /** Gives up claims on servers that take no work. */
+    void dropUnusable() {
+        List<TrackedJob> unusable = state.claims.values().stream()
+                .filter(job -> state.serversOf(job.claim.placements()).stream()
+                        .anyMatch(server -> !UnitPacker.isSound(server)))
+                .toList();
+        unusable.forEach(this::drop);
+    }
+
+    private void drop(TrackedJob job) {
+        state.dropClaim(job);
+        state.queue.add(job, job.queuedMilliseconds);
+        state.teamsToTry.add(job.request.team());
+    }
+}
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Cluster.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Cluster.java
@@ -33,6 +33,11 @@
         return servers.get(name);
     }
 
+    /** A server by name, added without an announcement when it is not known. */
+    ServerState findOrAdd(String name) {
+        return servers.computeIfAbsent(name, ServerState::new);
+    }
+
     /** The cells of a level by name; each lists its announced servers by name. */
     public Map<String, List<ServerState>> cells(Level level) {
         if (cells.isEmpty()) {
@@ -85,8 +90,9 @@
 
     /** Holds the parts of an attempt. */
     public void take(List<PartPlacement> placements, PartResources part) {
-        placements.forEach(placement ->
-                servers.computeIfAbsent(placement.server(), ServerState::new).take(part, placement.firstAccelerator()));
+        placements.forEach(placement -> servers.computeIfAbsent(placement.server(), ServerState::new)
+                .held
+                .add(part, placement.firstAccelerator()));
     }
 
     /** Frees the parts of an attempt. */
@@ -94,7 +100,7 @@
         placements.forEach(placement -> {
             ServerState state = servers.get(placement.server());
             if (state != null) {
-                state.release(part, placement.firstAccelerator());
+                state.held.remove(part, placement.firstAccelerator());
                 forgetIfGone(state);
             }
         });
@@ -120,7 +126,7 @@
         state.setInService(configuration.stateOf(state.name()) == ServiceState.IN_SERVICE);
     }
 
-    private void forgetIfGone(ServerState state) {
+    void forgetIfGone(ServerState state) {
         if (state.announced() == null && state.isIdle() && !state.isQuarantined()) {
             servers.remove(state.name());
         }
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Displacement.java
@@ -0,0 +1,94 @@
+package org.teaselwood.policy;
+
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Moves borrowed work out of the way of waiting work when it pays. Confined to its scheduler's thread.
+ *
+ * <p>A job that waits may displace checkpointable borrowed work once the accelerator time it has waited reaches the
+ * cost of stopping that work. Until then waiting is cheaper; after that moving is: the job never waits for more than
+ * twice what the better choice would have cost. Victims must be expected to run longer than the job, belong to
+ * smaller jobs, or the job must be overdue; each reclaim of a job doubles its cost, so that work cannot displace each
+ * other in turn.
+ */
+final class Displacement {
+    /** Classes looked at in one tick. */
+    private static final int MOST_CLASSES = 6;
+
+    /** A job may displace work whose expected remaining time is at least this many times its own. */
+    private static final double SHORTER_FACTOR = 2;
+
+    private final PolicyState state;
+
+    Displacement(PolicyState state) {
+        this.state = state;
+    }
+
+    /** Looks at the highest ranked classes that do not fit. */
+    void run() {
+        List<WaitingClass> classes = state.queue.classes().stream()
+                .filter(home -> home.mayBorrow() && (home.demand.blocked || home.demand.blockedOutsideReservations))
+                .sorted(Comparator.<WaitingClass>comparingDouble(home -> -state.queue.rank(home, state.now))
+                        .thenComparingInt(home -> home.number))
+                .limit(MOST_CLASSES)
+                .toList();
+        classes.forEach(home -> displaceFor(home.head()));
+    }
+
+    private void displaceFor(TrackedJob job) {
+        long waited = state.now - job.queuedMilliseconds;
+        long gain = (long) (waited * Math.max(1.0, job.size()));
+        if (gain < StopCosts.RESTART_MILLISECONDS
+                || !state.queue.withinQuota(job.request.team(), job.accelerators())
+                || job.request.deadlineMilliseconds() < state.now) {
+            return;
+        }
+        boolean overdue = state.now - job.request.submittedMilliseconds() >= FairQueue.OVERDUE_MILLISECONDS;
+        VictimSearch.Found found = VictimSearch.cheapest(
+                state.cluster.cells(job.shape().adjacency()).values(),
+                job.shape(),
+                ground(job),
+                victim -> mayDisplace(job, victim, overdue),
+                victim -> StopCosts.of(victim, state.now),
+                overdue ? Long.MAX_VALUE : gain);
+        if (found != null) {
+            state.claim(job, found, null, "job " + job.request.job() + " has waited longer than a move costs");
+        }
+    }
+
+    private boolean mayDisplace(TrackedJob job, TrackedAttempt victim, boolean overdue) {
+        if (victim.job.unit != null || !victim.started || victim.job.reclaims > 0 && victim.job == job) {
+            return false;
+        }
+        if (overdue) {
+            return victim.job.request.submittedMilliseconds() > job.request.submittedMilliseconds();
+        }
+        if (!victim.job.request.template().checkpointable()) {
+            return false;
+        }
+        long remaining = state.runTimes.remaining(
+                victim.job.request.team(),
+                victim.job.request.template(),
+                victim.job.savedMilliseconds + state.now - victim.startedMilliseconds,
+                0.5);
+        return remaining >= SHORTER_FACTOR * job.waitingClass.typicalRunMilliseconds
+                || job.accelerators() >= 4 * Math.max(1, victim.job.accelerators());
+    }
+
+    private VictimSearch.Ground ground(TrackedJob job) {
+        return new VictimSearch.Ground() {
+            @Override
+            public long accelerators(ServerState server) {
+                return server.allAccelerators();
+            }
+
+            @Override
+            public int mostParts(ServerState server) {
+                return state.mayStart(job, server)
+                        ? server.fitWhenEmpty(job.shape().part())
+                        : 0;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteeScheduler.java
@@ -0,0 +1,217 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.model.TeaselwoodException;
+
+/**
+ * Places jobs under the guarantees of their teams.
+ *
+ * <p>Each guaranteed shape has a place in a packing ({@link GuaranteePlan}); guaranteed work runs inside it, so the
+ * packing is the witness of invariant I1. Everything else is borrowed: lent by weighted fair sharing
+ * ({@link BorrowedStarts}), stopped when a team reclaims its place ({@link GuaranteedStarts}), and moved when that is
+ * cheaper than the wait of other work ({@link Displacement}). An event is first applied to the state and followed by
+ * one pass over what it made possible, so that an event which frees nothing costs no search. Confined to one thread.
+ */
+public final class GuaranteeScheduler implements Scheduler {
+    /** While units have no place, packing is tried again this often. */
+    private static final long RESTORE_PERIOD_MILLISECONDS = 5_000;
+
+    private final PolicyState state = new PolicyState();
+    private final AttemptEvents attempts = new AttemptEvents(state);
+    private final BorrowedStarts borrowedStarts = new BorrowedStarts(state);
+    private final GuaranteedStarts guaranteedStarts = new GuaranteedStarts(state, borrowedStarts);
+    private final Displacement displacement = new Displacement(state);
+    private final Reservations reservations = new Reservations(state);
+    private final ClaimStarts claimStarts = new ClaimStarts(state);
+    private final WaitLimits waitLimits = new WaitLimits(state);
+    private long nextRestoreMilliseconds;
+
+    @Override
+    public List<PolicyDecision> handle(PolicyEvent event, long nowMilliseconds) {
+        state.now = nowMilliseconds;
+        state.decisions = new ArrayList<>();
+        boolean pass = apply(event);
+        if (pass) {
+            pass();
+        }
+        return state.decisions;
+    }
+
+    /** Applies an event; false when the pass can wait for the next event, as in a burst of announcements. */
+    private boolean apply(PolicyEvent event) {
+        return switch (event) {
+            case PolicyEvent.ConfigurationChanged changed -> configure(changed.configuration());
+            case PolicyEvent.ServerJoined joined -> join(joined);
+            case PolicyEvent.ServerUnavailable unavailable -> makeUnavailable(unavailable.server());
+            case PolicyEvent.ServerLost lost -> lose(lost.server());
+            case PolicyEvent.JobSubmitted submitted -> submit(submitted.request());
+            case PolicyEvent.JobAdopted adopted -> attempts.adopt(adopted);
+            case PolicyEvent.JobCancelled cancelled -> cancel(cancelled.job());
+            case PolicyEvent.AttemptStarted started -> attempts.start(started.attempt());
+            case PolicyEvent.AttemptCheckpointed checkpointed -> attempts.checkpoint(checkpointed.attempt());
+            case PolicyEvent.AttemptEnded ended -> attempts.end(ended);
+            case PolicyEvent.UsageReported reported -> attempts.reportUsage(reported);
+            case PolicyEvent.ProbeEnded ended -> endProbe(ended);
+            case PolicyEvent.Tick ignored -> tick();
+        };
+    }
+
+    private boolean configure(Configuration next) {
+        state.configuration = next;
+        state.cluster.configure(next);
+        state.queue.configure(next);
+        state.plan.configure(next);
+        serversChanged();
+        return true;
+    }
+
+    private boolean join(PolicyEvent.ServerJoined joined) {
+        ServerState known = state.cluster.find(joined.server().name());
+        if (known != null && known.isPresent() && joined.server().equals(known.announced())) {
+            return false;
+        }
+        state.cluster.join(joined.server());
+        serversChanged();
+        return false;
+    }
+
+    private boolean makeUnavailable(String server) {
+        state.cluster.makeUnavailable(server);
+        serversChanged();
+        return false;
+    }
+
+    private boolean lose(String server) {
+        state.cluster.lose(server);
+        state.health.lost(server);
+        serversChanged();
+        return false;
+    }
+
+    private void serversChanged() {
+        state.restoreNeeded = true;
+        state.capacityFreed = true;
+    }
+
+    private boolean submit(JobRequest request) {
+        if (state.jobs.containsKey(request.job())) {
+            return false;
+        }
+        TrackedJob job = state.newJob(request);
+        int limit = state.queue.limit(request.team());
+        if (state.queue.size(request.team()) >= limit) {
+            state.end(job, ErrorKind.QUEUE_FULL, List.of(request.team(), Integer.toString(limit)));
+            return false;
+        }
+        state.queue.add(job, state.now);
+        waitLimits.watch(job);
+        state.teamsToTry.add(request.team());
+        return true;
+    }
+
+    /** Cancelling a waiting job frees nothing, so a wave of cancellations costs no search. */
+    private boolean cancel(JobIdentifier identifier) {
+        TrackedJob job = state.jobs.get(identifier);
+        if (job == null) {
+            return false;
+        }
+        job.cancelled = true;
+        boolean claimed = job.claim != null;
+        if (job.attempt == null) {
+            state.forget(job);
+        }
+        return claimed;
+    }
+
+    private boolean endProbe(PolicyEvent.ProbeEnded ended) {
+        boolean back = state.health.probed(ended.server(), ended.succeeded());
+        if (back) {
+            serversChanged();
+        }
+        return back;
+    }
+
+    private boolean tick() {
+        state.health.tick(state.now, state.decisions);
+        waitLimits.tick();
+        claimStarts.dropStale();
+        boolean shortfall = state.plan.units().stream().anyMatch(unit -> !unit.isPlaced());
+        if (shortfall && state.now >= nextRestoreMilliseconds) {
+            state.restoreNeeded = true;
+        }
+        reservations.run();
+        return true;
+    }
+
+    private void pass() {
+        if (state.restoreNeeded) {
+            restore();
+        }
+        if (state.capacityFreed) {
+            state.capacityFreed = false;
+            state.queue.unblock();
+        }
+        claimStarts.run();
+        guaranteedStarts.run();
+        borrowedStarts.run();
+        displacement.run();
+    }
+
+    private void restore() {
+        state.restoreNeeded = false;
+        nextRestoreMilliseconds = state.now + RESTORE_PERIOD_MILLISECONDS;
+        claimStarts.dropUnusable();
+        state.packer.restore().forEach(state::becomeBorrowed);
+        state.configuration.teams().keySet().forEach(state::teamUnitsChanged);
+    }
+
+    @Override
+    public List<String> explain(JobIdentifier job, long nowMilliseconds) {
+        state.now = nowMilliseconds;
+        return new Explanation(state).of(job);
+    }
+
+    /** Packs the guarantees on empty servers; running work is moved or left in place when they come into force. */
+    @Override
+    public void checkGuarantees(Configuration next) {
+        Cluster empty = new Cluster();
+        state.cluster.servers().stream()
+                .filter(server -> server.announced() != null)
+                .forEach(server -> empty.join(server.announced()));
+        empty.configure(next);
+        GuaranteePlan plan = new GuaranteePlan(empty);
+        plan.configure(next);
+        new UnitPacker(empty, plan).restore();
+        plan.units().stream().filter(unit -> !unit.isPlaced()).findFirst().ifPresent(unit -> {
+            throw TeaselwoodException.of(
+                    ErrorKind.GUARANTEES_DO_NOT_FIT, "team " + unit.team + ", shape " + unit.shape);
+        });
+    }
+
+    @Override
+    public double fragmentation() {
+        List<TrackedJob> waiting =
+                state.queue.classes().stream().map(WaitingClass::head).toList();
+        return Fragmentation.of(state.cluster, waiting, state.configuration);
+    }
+
+    /** Units and their places, for tests of the invariant. */
+    GuaranteePlan plan() {
+        return state.plan;
+    }
+
+    /** The cluster, for tests of the invariant. */
+    Cluster cluster() {
+        return state.cluster;
+    }
+
+    /** Jobs that have not ended, for tests. */
+    Map<JobIdentifier, TrackedJob> jobs() {
+        return state.jobs;
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteedStarts.java
@@ -0,0 +1,219 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.teaselwood.model.Level;
+import org.teaselwood.model.Shape;
+
+/**
+ * Starts work inside its team's guarantee. Confined to its scheduler's thread.
+ *
+ * <p>In this order: room in a unit that nobody holds; an empty unit moved to room that nobody holds; for work that may
+ * borrow, free room anywhere; the place of a unit whose borrowers cost the least to stop. Urgent work, and work that
+ * runs only inside the guarantee, may then take the unit of its own team's ordinary work, which goes on as borrowed
+ * work until its place is needed.
+ */
+final class GuaranteedStarts {
+    private final PolicyState state;
+    private final BorrowedStarts borrowedStarts;
+
+    GuaranteedStarts(PolicyState state, BorrowedStarts borrowedStarts) {
+        this.state = state;
+        this.borrowedStarts = borrowedStarts;
+    }
+
+    /** Tries the waiting work of all teams whose units or queue changed. */
+    void run() {
+        while (!state.teamsToTry.isEmpty()) {
+            String team = state.teamsToTry.iterator().next();
+            state.teamsToTry.remove(team);
+            if (!state.plan.unitsOf(team).isEmpty()) {
+                tryTeam(team);
+            }
+        }
+    }
+
+    private void tryTeam(String team) {
+        Comparator<WaitingClass> order = Comparator.<WaitingClass, Boolean>comparing(home -> !home.key.urgent())
+                .thenComparing(WaitingClass::mayBorrow)
+                .thenComparing(home -> -state.queue.rank(home, state.now))
+                .thenComparingInt(home -> home.number);
+        List<WaitingClass> classes =
+                state.queue.classesOf(team).stream().sorted(order).toList();
+        for (WaitingClass home : classes) {
+            while (!home.jobs.isEmpty() && !home.unitsFull) {
+                if (!start(home.head())) {
+                    home.unitsFull = true;
+                }
+            }
+        }
+    }
+
+    private boolean start(TrackedJob job) {
+        if (!state.queue.withinQuota(job.request.team(), job.accelerators())
+                || job.request.deadlineMilliseconds() < state.now) {
+            return false;
+        }
+        List<GuaranteeUnit> units = candidates(job);
+        return startOnFree(job, units)
+                || startOnMoved(job, units)
+                || (job.mayBorrow() && !job.request.urgent() && borrowedStarts.start(job, true))
+                || startOnReclaimed(job, units)
+                || startInsteadOfOwn(job);
+    }
+
+    /** Units with room for the job beside their occupants, fullest first. */
+    private List<GuaranteeUnit> candidates(TrackedJob job) {
+        List<GuaranteeUnit> units = new ArrayList<>();
+        for (GuaranteeUnit unit : state.plan.unitsOf(job.request.team())) {
+            if (unit.isPlaced() && !unit.excess && holds(unit, job, false, server -> true)) {
+                units.add(unit);
+            }
+        }
+        units.sort(Comparator.<GuaranteeUnit, Boolean>comparing(GuaranteeUnit::isEmpty)
+                .thenComparingInt(unit -> unit.shape.totalAccelerators()));
+        return units;
+    }
+
+    private boolean holds(GuaranteeUnit unit, TrackedJob job, boolean onFree, Predicate<ServerState> usable) {
+        return !find(unit, job, onFree, usable).isEmpty();
+    }
+
+    private List<PartPlacement> find(
+            GuaranteeUnit unit, TrackedJob job, boolean onFree, Predicate<ServerState> usable) {
+        Room room = new UnitRoom(unit, onFree, usable);
+        return RoomSearch.find(cells(unit, job.shape()), job.shape(), room);
+    }
+
+    private Iterable<List<ServerState>> cells(GuaranteeUnit unit, Shape shape) {
+        Level level = shape.parts() == 1 ? Level.REGION : shape.adjacency();
+        Map<String, List<ServerState>> cells = new TreeMap<>();
+        for (String name : unit.area.keySet()) {
+            ServerState server = state.cluster.find(name);
+            if (server != null && server.announced() != null) {
+                cells.computeIfAbsent(Cluster.cellName(level, server.announced()), cell -> new ArrayList<>())
+                        .add(server);
+            }
+        }
+        return cells.values();
+    }
+
+    private boolean startOnFree(TrackedJob job, List<GuaranteeUnit> units) {
+        for (GuaranteeUnit unit : units) {
+            List<PartPlacement> found = find(unit, job, true, server -> state.mayStart(job, server));
+            if (!found.isEmpty()) {
+                state.place(job, found, unit);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean startOnMoved(TrackedJob job, List<GuaranteeUnit> units) {
+        Set<Demand> tried = new HashSet<>();
+        for (GuaranteeUnit unit : units) {
+            boolean fresh = unit.isEmpty() && tried.add(new Demand(unit.shape, unit.capabilities, Set.of()));
+            if (fresh && state.packer.moveToFree(unit, server -> state.mayStart(job, server))) {
+                return startOnFree(job, List.of(unit));
+            }
+        }
+        return false;
+    }
+
+    private boolean startOnReclaimed(TrackedJob job, List<GuaranteeUnit> units) {
+        GuaranteeUnit bestUnit = null;
+        VictimSearch.Found best = null;
+        for (GuaranteeUnit unit : units) {
+            VictimSearch.Found found = VictimSearch.cheapest(
+                    cells(unit, job.shape()),
+                    job.shape(),
+                    ground(unit, job),
+                    attempt -> attempt.job.unit == null,
+                    attempt -> StopCosts.of(attempt, state.now),
+                    Long.MAX_VALUE);
+            if (found != null && (best == null || found.cost() < best.cost())) {
+                best = found;
+                bestUnit = unit;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        state.claim(job, best, bestUnit, "team " + job.request.team() + " reclaims its guarantee");
+        return true;
+    }
+
+    private VictimSearch.Ground ground(GuaranteeUnit unit, TrackedJob job) {
+        UnitRoom room = new UnitRoom(unit, false, server -> state.mayStart(job, server));
+        return new VictimSearch.Ground() {
+            @Override
+            public long accelerators(ServerState server) {
+                return room.accelerators(server);
+            }
+
+            @Override
+            public int mostParts(ServerState server) {
+                return room.fit(server, job.shape().part());
+            }
+        };
+    }
+
+    private boolean startInsteadOfOwn(TrackedJob job) {
+        if (!job.request.urgent() && job.mayBorrow()) {
+            return false;
+        }
+        GuaranteeUnit best = null;
+        long bestCost = Long.MAX_VALUE;
+        for (GuaranteeUnit unit : state.plan.unitsOf(job.request.team())) {
+            boolean yields = unit.isPlaced()
+                    && !unit.excess
+                    && !unit.isEmpty()
+                    && unit.occupants.stream().allMatch(GuaranteedStarts::mayYield)
+                    && unit.area.keySet().stream().allMatch(name -> mayStartOn(job, name));
+            if (yields && emptyHolds(unit, job)) {
+                long cost = unit.occupants.stream()
+                        .mapToLong(occupant -> occupant.attempt == null ? 0 : StopCosts.of(occupant.attempt, state.now))
+                        .sum();
+                if (cost < bestCost) {
+                    best = unit;
+                    bestCost = cost;
+                }
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        List.copyOf(best.occupants).forEach(this::makeYield);
+        List<GuaranteeUnit> units = List.of(best);
+        return startOnFree(job, units) || startOnMoved(job, units) || startOnReclaimed(job, units);
+    }
+
+    private boolean mayStartOn(TrackedJob job, String name) {
+        ServerState server = state.cluster.find(name);
+        return server != null && state.mayStart(job, server);
+    }
+
+    private static boolean mayYield(TrackedJob occupant) {
+        return occupant.mayBorrow() && !occupant.request.urgent();
+    }
+
+    private void makeYield(TrackedJob occupant) {
+        if (occupant.attempt != null) {
+            state.demote(occupant);
+        } else {
+            state.dropClaim(occupant);
+            state.queue.add(occupant, occupant.queuedMilliseconds);
+        }
+    }
+
+    private boolean emptyHolds(GuaranteeUnit unit, TrackedJob job) {
+        Room whole = new UnitRoom(unit, Map.of(), false, server -> true);
+        return !RoomSearch.find(cells(unit, job.shape()), job.shape(), whole).isEmpty();
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/PolicyState.java
@@ -0,0 +1,218 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.teaselwood.model.AttemptIdentifier;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.policy.PolicyDecision.EndJob;
+import org.teaselwood.policy.PolicyDecision.Place;
+import org.teaselwood.policy.PolicyDecision.Reclaim;
+
+/**
+ * Everything that the guarantee policy knows, with the steps that keep its parts consistent: opening and closing
+ * attempts, claims, and moves between guaranteed and borrowed work. Mutable, confined to its scheduler's thread.
+ */
+final class PolicyState {
+    /** Time that a reclaimed attempt has for its checkpoint. */
+    static final long RECLAIM_GRACE_MILLISECONDS = 3_000;
+
+    final Cluster cluster = new Cluster();
+    final GuaranteePlan plan = new GuaranteePlan(cluster);
+    final UnitPacker packer = new UnitPacker(cluster, plan);
+    final RunTimes runTimes = new RunTimes();
+    final FairQueue queue = new FairQueue(runTimes);
+    final ServerHealth health = new ServerHealth(cluster);
+    final RetryBudget retries = new RetryBudget();
+    final Map<JobIdentifier, TrackedJob> jobs = new TreeMap<>();
+    /** Jobs with an open attempt, by sequence. */
+    final TreeMap<Long, TrackedJob> running = new TreeMap<>();
+    /** Jobs with a claim, by sequence. */
+    final TreeMap<Long, TrackedJob> claims = new TreeMap<>();
+    /** Teams whose guaranteed work may have become placeable. */
+    final Set<String> teamsToTry = new TreeSet<>();
+    /** Servers kept for large gangs, with the time at which each is expected to be needed. */
+    final Map<String, Long> reservedServers = new TreeMap<>();
+
+    Configuration configuration = Configuration.EMPTY;
+    /** Time at which a server that refused a hold takes work again, {@link Long#MAX_VALUE} for none. */
+    long pausedUntilMilliseconds = Long.MAX_VALUE;
+    /** Whether the units have to be packed again. */
+    boolean restoreNeeded;
+    /** Whether capacity was freed since the last pass. */
+    boolean capacityFreed;
+    /** Time of the event in hand. */
+    long now;
+    /** Decisions on the event in hand. */
+    List<PolicyDecision> decisions = new ArrayList<>();
+
+    private long nextSequence;
+
+    TrackedJob newJob(JobRequest request) {
+        TrackedJob job = new TrackedJob(request, nextSequence++);
+        jobs.put(request.job(), job);
+        return job;
+    }
+
+    /** The open attempt with an identifier, null when it is not known or has ended. */
+    TrackedAttempt openAttempt(AttemptIdentifier identifier) {
+        TrackedJob job = jobs.get(identifier.job());
+        boolean open = job != null && job.attempt != null && job.attempt.identifier.equals(identifier);
+        return open ? job.attempt : null;
+    }
+
+    /** Starts an attempt; a unit of null means borrowed capacity. */
+    void place(TrackedJob job, List<PartPlacement> placements, GuaranteeUnit unit) {
+        queue.remove(job);
+        job.attemptNumber++;
+        AttemptIdentifier identifier = new AttemptIdentifier(job.request.job(), job.attemptNumber);
+        open(job, new TrackedAttempt(job, identifier, placements, unit != null, now));
+        if (unit != null) {
+            plan.enter(unit, job);
+        } else {
+            queue.addBorrowed(job.request.team(), job.size());
+        }
+        decisions.add(new Place(identifier, job.attempt.placements, unit != null));
+    }
+
+    /** Records what an attempt holds; the caller accounts for it as guaranteed or borrowed. */
+    void open(TrackedJob job, TrackedAttempt attempt) {
+        job.attempt = attempt;
+        cluster.take(attempt.placements, job.shape().part());
+        serversOf(attempt.placements).forEach(server -> server.attempts.add(attempt));
+        queue.addAccelerators(job.request.team(), job.accelerators());
+        running.put(job.sequence, job);
+    }
+
+    /** Frees what an attempt holds. */
+    void close(TrackedJob job) {
+        TrackedAttempt attempt = job.attempt;
+        if (job.unit != null) {
+            leaveUnit(job);
+        } else {
+            queue.addBorrowed(job.request.team(), -job.size());
+        }
+        job.attempt = null;
+        serversOf(attempt.placements).forEach(server -> server.attempts.remove(attempt));
+        cluster.release(attempt.placements, job.shape().part());
+        queue.addAccelerators(job.request.team(), -job.accelerators());
+        running.remove(job.sequence);
+        capacityFreed = true;
+    }
+
+    private void leaveUnit(TrackedJob job) {
+        GuaranteeUnit unit = job.unit;
+        plan.leave(job);
+        if (unit.isEmpty() && unit.area.keySet().stream().anyMatch(this::isUnsound)) {
+            restoreNeeded = true;
+        }
+        teamUnitsChanged(unit.team);
+    }
+
+    private boolean isUnsound(String server) {
+        ServerState state = cluster.find(server);
+        return state == null || !UnitPacker.isSound(state);
+    }
+
+    /** Units of a team changed, so its waiting work is tried again. */
+    void teamUnitsChanged(String team) {
+        teamsToTry.add(team);
+        queue.classesOf(team).forEach(home -> home.unitsFull = false);
+    }
+
+    /** Goes on with guaranteed work as borrowed work, so that its unit is free again. */
+    void demote(TrackedJob job) {
+        leaveUnit(job);
+        becomeBorrowed(job);
+    }
+
+    /** Accounts for work that has left its unit. */
+    void becomeBorrowed(TrackedJob job) {
+        job.attempt.guaranteed = false;
+        queue.addBorrowed(job.request.team(), job.size());
+    }
+
+    /** Keeps positions for a job and stops the attempts that hold them. */
+    void claim(TrackedJob job, VictimSearch.Found found, GuaranteeUnit unit, String reason) {
+        queue.remove(job);
+        job.claim = new Claim(found.placements(), now);
+        found.placements()
+                .forEach(placement -> cluster.findOrAdd(placement.server())
+                        .claimed
+                        .add(job.shape().part(), placement.firstAccelerator()));
+        if (unit != null) {
+            plan.enter(unit, job);
+        }
+        claims.put(job.sequence, job);
+        found.victims().forEach(victim -> reclaim(victim, reason));
+    }
+
+    /** Gives up a claim without queueing its job again. */
+    void dropClaim(TrackedJob job) {
+        if (job.unit != null) {
+            leaveUnit(job);
+        }
+        job.claim
+                .placements()
+                .forEach(placement -> cluster.findOrAdd(placement.server())
+                        .claimed
+                        .remove(job.shape().part(), placement.firstAccelerator()));
+        job.claim = null;
+        claims.remove(job.sequence);
+        capacityFreed = true;
+    }
+
+    /** Stops an attempt, unless that is under way. */
+    void reclaim(TrackedAttempt attempt, String reason) {
+        if (attempt.isStopping()) {
+            return;
+        }
+        attempt.reclaimedMilliseconds = now;
+        attempt.job.reclaims++;
+        long grace = attempt.job.request.template().checkpointable() ? RECLAIM_GRACE_MILLISECONDS : 0;
+        decisions.add(new Reclaim(attempt.identifier, grace, reason));
+    }
+
+    /** Ends a job that waits. */
+    void end(TrackedJob job, ErrorKind kind, List<String> arguments) {
+        forget(job);
+        decisions.add(new EndJob(job.request.job(), kind, arguments));
+    }
+
+    /** Removes a job without an open attempt. */
+    void forget(TrackedJob job) {
+        jobs.remove(job.request.job());
+        queue.remove(job);
+        if (job.claim != null) {
+            dropClaim(job);
+        }
+    }
+
+    /** Servers that refused a hold take no work for a moment, because their view differs from ours. */
+    void pause(List<String> names) {
+        long until = now + FirstFitScheduler.REFUSAL_PAUSE_MILLISECONDS;
+        names.stream().map(cluster::find).filter(Objects::nonNull).forEach(server -> server.refuseUntil(until));
+        pausedUntilMilliseconds = until;
+    }
+
+    /** Whether the job may run on a server now. */
+    boolean mayStart(TrackedJob job, ServerState server) {
+        return server.isUsable(now)
+                && !job.failedServers.contains(server.name())
+                && Cluster.isCapable(server, job.request.template().capabilities());
+    }
+
+    /** Servers with at least one of the placements. */
+    Set<ServerState> serversOf(List<PartPlacement> placements) {
+        Set<ServerState> servers = new LinkedHashSet<>();
+        placements.forEach(placement -> servers.add(cluster.findOrAdd(placement.server())));
+        return servers;
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Reservations.java
@@ -0,0 +1,106 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+import org.teaselwood.model.Shape;
+
+/**
+ * Keeps servers for large gangs that wait. Confined to its scheduler's thread.
+ *
+ * <p>For the highest ranked gang that has waited {@value #PATIENCE_MILLISECONDS} ms, each cell gets an expected time at
+ * which it could hold the gang: the time by which, three in four times, enough attempts have ended according to their
+ * learned distributions. The servers of the earliest cell are reserved until that time; shorter work may fill them.
+ * Reservations are made anew every {@value #PERIOD_MILLISECONDS} ms, since run times are only known as distributions.
+ */
+final class Reservations {
+    /** Gangs wait this long before servers are reserved for them. */
+    static final long PATIENCE_MILLISECONDS = 20_000;
+
+    private static final long PERIOD_MILLISECONDS = 10_000;
+    private static final int MOST_RESERVATIONS = 2;
+    private static final double END_QUANTILE = 0.75;
+
+    private final PolicyState state;
+    private long nextMilliseconds;
+
+    Reservations(PolicyState state) {
+        this.state = state;
+    }
+
+    /** Makes the reservations anew when it is time. */
+    void run() {
+        if (state.now < nextMilliseconds) {
+            return;
+        }
+        nextMilliseconds = state.now + PERIOD_MILLISECONDS;
+        boolean had = !state.reservedServers.isEmpty();
+        state.reservedServers.clear();
+        state.queue.classes().stream()
+                .filter(home -> home.mayBorrow()
+                        && home.demand.blocked
+                        && isLarge(home.key.template().shape()))
+                .filter(home -> state.now - home.head().queuedMilliseconds >= PATIENCE_MILLISECONDS)
+                .sorted(Comparator.<WaitingClass>comparingDouble(home -> -state.queue.rank(home, state.now))
+                        .thenComparingInt(home -> home.number))
+                .limit(MOST_RESERVATIONS)
+                .forEach(home -> reserveFor(home.head()));
+        if (had) {
+            state.capacityFreed = true;
+        }
+    }
+
+    private static boolean isLarge(Shape shape) {
+        return shape.parts() > 1 || shape.part().accelerators() > 2;
+    }
+
+    private void reserveFor(TrackedJob job) {
+        List<ServerEnd> best = List.of();
+        long bestReady = Long.MAX_VALUE;
+        for (List<ServerState> cell :
+                state.cluster.cells(job.shape().adjacency()).values()) {
+            List<ServerEnd> ends = new ArrayList<>();
+            for (ServerState server : cell) {
+                boolean open = state.mayStart(job, server) && !state.reservedServers.containsKey(server.name());
+                int parts = open ? server.fitWhenEmpty(job.shape().part()) : 0;
+                if (parts > 0) {
+                    ends.add(new ServerEnd(server.name(), expectedEnd(server), parts));
+                }
+            }
+            ends.sort(Comparator.<ServerEnd>comparingLong(ServerEnd::end).thenComparing(ServerEnd::name));
+            int missing = job.shape().parts();
+            int used = 0;
+            while (missing > 0 && used < ends.size()) {
+                missing -= ends.get(used).parts;
+                used++;
+            }
+            if (missing <= 0 && ends.get(used - 1).end < bestReady) {
+                bestReady = ends.get(used - 1).end;
+                best = ends.subList(0, used);
+            }
+        }
+        long ready = bestReady;
+        best.forEach(end -> state.reservedServers.put(end.name, ready));
+    }
+
+    private long expectedEnd(ServerState server) {
+        long end = state.now;
+        for (TrackedAttempt attempt : server.attempts) {
+            long ran = attempt.job.savedMilliseconds + Math.max(0, state.now - attempt.startedMilliseconds);
+            end = Math.max(
+                    end,
+                    state.now
+                            + state.runTimes.remaining(
+                                    attempt.job.request.team(), attempt.job.request.template(), ran, END_QUANTILE));
+        }
+        return end;
+    }
+
+    /** Names of the reserved servers. */
+    TreeSet<String> servers() {
+        return new TreeSet<>(state.reservedServers.keySet());
+    }
+
+    private record ServerEnd(String name, long end, int parts) {}
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/RoomSearch.java
@@ -0,0 +1,144 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.teaselwood.model.Level;
+import org.teaselwood.model.Shape;
+
+/**
+ * Finds positions that leave the most room. Stateless.
+ *
+ * <p>Among the cells that hold the shape it takes the one with the least room left, so that whole racks and data
+ * centres stay free for gangs. Inside a cell a single part goes to the server with the least room left; a gang fills
+ * servers with much room first, so that it touches few, and its last parts go to the tightest server that holds them.
+ * A run of accelerators is taken from the shortest free run at an aligned end, as in buddy allocation. Within one
+ * cell the search is exact for one shape, because equal parts pack greedily without loss.
+ */
+final class RoomSearch {
+    private static final Comparator<Candidate> TIGHTEST = Comparator.<Candidate>comparingLong(
+                    candidate -> candidate.penalty)
+            .thenComparingInt(candidate -> candidate.leftover)
+            .thenComparingInt(candidate -> candidate.capabilities)
+            .thenComparing(candidate -> candidate.server.announced().speed(), Comparator.reverseOrder())
+            .thenComparing(candidate -> candidate.server.name());
+    private static final Comparator<Candidate> ROOMIEST = Comparator.<Candidate>comparingLong(
+                    candidate -> candidate.penalty)
+            .thenComparing(candidate -> candidate.fit, Comparator.reverseOrder())
+            .thenComparingInt(candidate -> candidate.leftover)
+            .thenComparing(candidate -> candidate.server.name());
+
+    private RoomSearch() {}
+
+    /** Positions for all parts, or an empty list. */
+    static List<PartPlacement> find(Cluster cluster, Shape shape, Room room) {
+        // One part lies in one cell of any level, so all servers are looked at together.
+        Level level = shape.parts() == 1 ? Level.REGION : shape.adjacency();
+        return find(cluster.cells(level).values(), shape, room);
+    }
+
+    /** Positions for all parts in one of the cells, or an empty list. */
+    static List<PartPlacement> find(Iterable<List<ServerState>> cells, Shape shape, Room room) {
+        if (shape.parts() == 1) {
+            return findSingle(cells, shape, room);
+        }
+        List<Candidate> best = List.of();
+        long bestPenalty = Long.MAX_VALUE;
+        long bestLeftover = Long.MAX_VALUE;
+        for (List<ServerState> cell : cells) {
+            List<Candidate> candidates = candidates(cell, shape, room);
+            long parts = 0;
+            long leftover = 0;
+            long penalty = 0;
+            for (Candidate candidate : candidates) {
+                parts += candidate.fit;
+                leftover += candidate.accelerators;
+                penalty += candidate.penalty;
+            }
+            boolean better = penalty < bestPenalty || penalty == bestPenalty && leftover < bestLeftover;
+            if (parts >= shape.parts() && better) {
+                best = candidates;
+                bestPenalty = penalty;
+                bestLeftover = leftover;
+            }
+        }
+        return best.isEmpty() ? List.of() : fill(best, shape, room);
+    }
+
+    private static List<PartPlacement> findSingle(Iterable<List<ServerState>> cells, Shape shape, Room room) {
+        Candidate best = null;
+        for (List<ServerState> cell : cells) {
+            for (ServerState server : cell) {
+                int fit = room.fit(server, shape.part());
+                if (fit > 0) {
+                    Candidate candidate = new Candidate(server, fit, shape, room);
+                    best = best == null || TIGHTEST.compare(candidate, best) < 0 ? candidate : best;
+                }
+            }
+        }
+        return best == null ? List.of() : fill(List.of(best), shape, room);
+    }
+
+    private static List<Candidate> candidates(List<ServerState> cell, Shape shape, Room room) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (ServerState server : cell) {
+            int fit = room.fit(server, shape.part());
+            if (fit > 0) {
+                candidates.add(new Candidate(server, fit, shape, room));
+            }
+        }
+        return candidates;
+    }
+
+    /** Fills candidates that have room for the whole shape. */
+    private static List<PartPlacement> fill(List<Candidate> candidates, Shape shape, Room room) {
+        List<Candidate> ordered = new ArrayList<>(candidates);
+        ordered.sort(ROOMIEST);
+        List<PartPlacement> placements = new ArrayList<>(shape.parts());
+        while (placements.size() < shape.parts()) {
+            int missing = shape.parts() - placements.size();
+            Candidate next = ordered.getFirst();
+            if (missing < next.fit) {
+                next = ordered.stream()
+                        .filter(candidate -> candidate.fit >= missing)
+                        .min(TIGHTEST)
+                        .orElse(next);
+            }
+            ordered.remove(next);
+            fillServer(next.server, Math.min(missing, next.fit), shape, room.accelerators(next.server), placements);
+        }
+        return placements;
+    }
+
+    /** Appends parts on one server, taken from the given accelerators. */
+    static void fillServer(
+            ServerState server, int count, Shape shape, long accelerators, List<PartPlacement> placements) {
+        int length = shape.part().accelerators();
+        long free = accelerators;
+        for (int index = 0; index < count; index++) {
+            int first = length == 0 ? -1 : ServerState.bestRun(free, length);
+            free &= ~ServerState.range(first, length);
+            placements.add(new PartPlacement(placements.size(), server.name(), first));
+        }
+    }
+
+    /** A server that holds at least one part. */
+    private static final class Candidate {
+        private final ServerState server;
+        private final int fit;
+        private final int accelerators;
+        private final int leftover;
+        private final int capabilities;
+        private final long penalty;
+
+        Candidate(ServerState server, int fit, Shape shape, Room room) {
+            this.server = server;
+            this.fit = fit;
+            this.accelerators = Long.bitCount(room.accelerators(server));
+            int used = Math.min(fit, shape.parts()) * shape.part().accelerators();
+            this.leftover = shape.part().accelerators() == 0 ? 0 : accelerators - used;
+            this.capabilities = server.announced().capabilities().size();
+            this.penalty = room.penalty(server);
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/RunTimes.java
@@ -0,0 +1,110 @@
+package org.teaselwood.policy;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import org.teaselwood.model.Template;
+
+/**
+ * Learned distributions of run times per team and template. Mutable, confined to its scheduler's thread.
+ *
+ * <p>Each distribution is a histogram with {@value #BUCKETS_PER_OCTAVE} buckets for each doubling. Old samples fade:
+ * all counts are halved when their sum reaches {@value #FADING_WEIGHT}. The declared run time counts as
+ * {@value #DECLARED_WEIGHT} samples spread over a factor of 16, because declarations are off by about that much; it
+ * therefore decides nothing alone once a few jobs have finished. A team without samples starts from the distribution of
+ * all teams.
+ */
+final class RunTimes {
+    private static final int BUCKETS_PER_OCTAVE = 2;
+    private static final int BUCKETS = 72;
+    private static final double FADING_WEIGHT = 400;
+    private static final double DECLARED_WEIGHT = 2;
+    /** Samples of all teams count this much for one team, until its own samples outnumber them. */
+    private static final double SHARED_WEIGHT = 4;
+
+    private final Map<Key, Samples> samples = new HashMap<>();
+
+    /** Records the run time of a finished job. */
+    void record(String team, Template template, long milliseconds) {
+        samplesOf(team, template).add(milliseconds);
+        samplesOf("", template).add(milliseconds);
+    }
+
+    /** A quantile of the run time. */
+    long quantile(String team, Template template, double quantile) {
+        return remaining(team, template, 0, quantile);
+    }
+
+    /** A quantile of the remaining run time of a job that has already run for some time. */
+    long remaining(String team, Template template, long elapsedMilliseconds, double quantile) {
+        double[] mixed = mixed(team, template);
+        int from = elapsedMilliseconds <= 0 ? 0 : bucket(elapsedMilliseconds);
+        double total = 0;
+        for (int index = from; index < BUCKETS; index++) {
+            total += mixed[index];
+        }
+        if (total <= 0) {
+            // Longer than anything seen: with a heavy tail, the time already run is the best estimate of the rest.
+            return elapsedMilliseconds;
+        }
+        double sum = 0;
+        int index = from;
+        while (index < BUCKETS - 1 && sum + mixed[index] < quantile * total) {
+            sum += mixed[index];
+            index++;
+        }
+        return Math.max(1, middle(index) - elapsedMilliseconds);
+    }
+
+    private double[] mixed(String team, Template template) {
+        Samples own = samplesOf(team, template);
+        if (own.mixed != null) {
+            return own.mixed;
+        }
+        Samples shared = samplesOf("", template);
+        double[] mixed = own.counts.clone();
+        int declared = bucket(template.declaredRunMilliseconds());
+        int spread = 2 * BUCKETS_PER_OCTAVE;
+        for (int offset = -spread; offset <= spread; offset++) {
+            mixed[Math.clamp(declared + offset, 0, BUCKETS - 1)] += DECLARED_WEIGHT / (2 * spread + 1);
+        }
+        double scale = shared.total <= 0 ? 0 : Math.min(SHARED_WEIGHT, shared.total) / shared.total;
+        for (int index = 0; index < BUCKETS; index++) {
+            mixed[index] += shared.counts[index] * scale;
+        }
+        own.mixed = mixed;
+        return mixed;
+    }
+
+    private Samples samplesOf(String team, Template template) {
+        return samples.computeIfAbsent(new Key(team, template.name()), key -> new Samples());
+    }
+
+    private static int bucket(long milliseconds) {
+        double octaves = Math.log(Math.max(1, milliseconds)) / Math.log(2);
+        return Math.clamp((int) (octaves * BUCKETS_PER_OCTAVE), 0, BUCKETS - 1);
+    }
+
+    private static long middle(int bucket) {
+        return (long) Math.pow(2, (bucket + 0.5) / BUCKETS_PER_OCTAVE);
+    }
+
+    private record Key(String team, String template) {}
+
+    /** Faded counts, with the mixture that is used until the next sample. */
+    private static final class Samples {
+        private final double[] counts = new double[BUCKETS];
+        private double total;
+        private double[] mixed;
+
+        void add(long milliseconds) {
+            counts[bucket(milliseconds)]++;
+            total++;
+            mixed = null;
+            if (total >= FADING_WEIGHT) {
+                Arrays.setAll(counts, index -> counts[index] / 2);
+                total /= 2;
+            }
+        }
+    }
+}
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/ServerState.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/ServerState.java
@@ -1,5 +1,7 @@
 package org.teaselwood.policy;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.teaselwood.model.BackendServer;
 import org.teaselwood.model.PartResources;
 
@@ -19,10 +21,16 @@
     private boolean inService = true;
     private boolean quarantined;
     private long refusesUntilMilliseconds = Long.MIN_VALUE;
-    private long heldAccelerators;
-    private int heldCores;
-    private int heldMemoryMebibytes;
-    private int heldSlots;
+    /** What attempts hold. */
+    final Holding held = new Holding();
+    /** What is kept free for attempts that wait for victims to stop. */
+    final Holding claimed = new Holding();
+    /** What guarantee units cover. */
+    final Holding promised = new Holding();
+    /** The part of the promised amounts whose units have occupants and therefore cannot move. */
+    final Holding anchored = new Holding();
+    /** Attempts with a part here, in order of their placement. */
+    final List<TrackedAttempt> attempts = new ArrayList<>();
 
     ServerState(String name) {
         this.name = name;
@@ -88,7 +96,7 @@
 
     /** Whether nothing is held on the server. */
     public boolean isIdle() {
-        return heldAccelerators == 0 && heldCores == 0 && heldMemoryMebibytes == 0 && heldSlots == 0;
+        return held.isEmpty() && claimed.isEmpty() && promised.isEmpty() && attempts.isEmpty();
     }
 
     /** Accelerators of the server as a bit set. */
@@ -98,7 +106,7 @@
 
     /** Free accelerators as a bit set. */
     public long freeAccelerators() {
-        return allAccelerators() & ~heldAccelerators;
+        return allAccelerators() & ~held.accelerators;
     }
 
     /** Number of free accelerators. */
@@ -113,9 +121,9 @@
                 : fit(
                         part,
                         freeAccelerators(),
-                        announced.cores() - heldCores,
-                        announced.memoryMebibytes() - heldMemoryMebibytes,
-                        announced.slots() - heldSlots);
+                        announced.cores() - held.cores,
+                        announced.memoryMebibytes() - held.memoryMebibytes,
+                        announced.slots() - held.slots);
     }
 
     /** How many parts fit on the empty server. */
@@ -168,20 +176,22 @@
         return starts == 0 ? -1 : Long.numberOfTrailingZeros(starts);
     }
 
-    /** Holds a part; an accelerator position of -1 holds none. */
-    public void take(PartResources part, int firstAccelerator) {
-        heldAccelerators |= range(firstAccelerator, part.accelerators());
-        heldCores += part.cores();
-        heldMemoryMebibytes += part.memoryMebibytes();
-        heldSlots += part.slots();
-    }
-
-    /** Frees a part that was taken. */
-    public void release(PartResources part, int firstAccelerator) {
-        heldAccelerators &= ~range(firstAccelerator, part.accelerators());
-        heldCores -= part.cores();
-        heldMemoryMebibytes -= part.memoryMebibytes();
-        heldSlots -= part.slots();
+    /** Position of the shortest free run that holds the given length, at an aligned end of it; -1 for none. */
+    static int bestRun(long free, int length) {
+        int best = -1;
+        int bestSize = Integer.MAX_VALUE;
+        long remaining = free;
+        while (remaining != 0) {
+            int first = Long.numberOfTrailingZeros(remaining);
+            int run = Long.numberOfTrailingZeros(~(remaining >>> first));
+            if (run >= length && run < bestSize) {
+                int last = first + run - length;
+                best = first % length != 0 && last % length == 0 ? last : first;
+                bestSize = run;
+            }
+            remaining = first + run >= Long.SIZE ? 0 : remaining & (-1L << (first + run));
+        }
+        return best;
     }
 
     /** Bit set of a run; empty for a negative position. */
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/TrackedAttempt.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/TrackedAttempt.java
@@ -17,6 +17,12 @@
     long safeUntilMilliseconds;
     /** Time of the reclaim decision, -1 while none was made. */
     long reclaimedMilliseconds = -1;
+    /** Usage reports above the declaration in a row. */
+    int overuseReports;
+    /** Whether the attempt was throttled for using more than it declared. */
+    boolean throttled;
+    /** Whether it was stopped for using more than it declared. */
+    boolean stoppedForOveruse;
     /** Whether a checkpoint was taken after the reclaim decision. */
     boolean checkpointedForStop;
 
@@ -33,4 +39,29 @@
         this.startedMilliseconds = startedMilliseconds;
         this.safeUntilMilliseconds = startedMilliseconds;
     }
+
+    boolean isStopping() {
+        return reclaimedMilliseconds >= 0;
+    }
+
+    /** Accelerators that the attempt holds on a server, as a bit set. */
+    long acceleratorsOn(String server) {
+        long bits = 0;
+        int length = job.shape().part().accelerators();
+        for (PartPlacement placement : placements) {
+            if (placement.server().equals(server)) {
+                bits |= ServerState.range(placement.firstAccelerator(), length);
+            }
+        }
+        return bits;
+    }
+
+    /** Number of parts on a server. */
+    int partsOn(String server) {
+        int count = 0;
+        for (PartPlacement placement : placements) {
+            count += placement.server().equals(server) ? 1 : 0;
+        }
+        return count;
+    }
 }
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/UnitPacker.java
@@ -0,0 +1,295 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.teaselwood.model.PartResources;
+import org.teaselwood.policy.LayeredRoom.Promises;
+
+/**
+ * Finds places for guarantee units. Confined to its scheduler's thread.
+ *
+ * <p>Packing is greedy: the largest parts first, each shape in the cell and on the servers with the least room left.
+ * For part sizes that are powers of two on equal servers, and one level of adjacency, this is exact, as in buddy
+ * allocation. Otherwise it is conservative: it may fail where a packing exists, and then nothing moves, the shortfall
+ * is told, or the configuration is refused; it never reports a packing that does not exist.
+ */
+final class UnitPacker {
+    /** The widest parts have the fewest places; tight levels go before loose ones. */
+    private static final Comparator<GuaranteeUnit> WIDEST_FIRST = Comparator.<GuaranteeUnit>comparingInt(
+                    unit -> -unit.shape.part().accelerators())
+            .thenComparing(unit -> unit.shape.adjacency())
+            .thenComparingInt(unit -> -unit.shape.parts());
+
+    /** The other order that is tried: by the size of the whole shape. */
+    private static final Comparator<GuaranteeUnit> WHOLE_FIRST = Comparator.<GuaranteeUnit>comparingInt(
+                    unit -> -unit.shape.totalAccelerators())
+            .thenComparing(unit -> unit.shape.adjacency());
+
+    /** Most empty units that one move pushes aside; more would make the time of a decision unbounded. */
+    private static final int MOST_DISPLACED = 8;
+
+    private final Cluster cluster;
+    private final GuaranteePlan plan;
+
+    UnitPacker(Cluster cluster, GuaranteePlan plan) {
+        this.cluster = cluster;
+        this.plan = plan;
+    }
+
+    /** Whether a server keeps promises: known, reachable, in service, not quarantined. */
+    static boolean isSound(ServerState server) {
+        return server.isPresent() && !server.isQuarantined();
+    }
+
+    /** Packs all given unplaced units, or none and returns false. Others do not move. */
+    boolean packAll(List<GuaranteeUnit> wanted) {
+        return packAll(wanted, WIDEST_FIRST) || packAll(wanted, WHOLE_FIRST);
+    }
+
+    private boolean packAll(List<GuaranteeUnit> wanted, Comparator<GuaranteeUnit> order) {
+        List<GuaranteeUnit> done = new ArrayList<>();
+        for (GuaranteeUnit unit : wanted.stream().sorted(order).toList()) {
+            if (!pack(unit)) {
+                done.forEach(plan::lift);
+                return false;
+            }
+            done.add(unit);
+        }
+        return true;
+    }
+
+    private boolean pack(GuaranteeUnit unit) {
+        LayeredRoom room = new LayeredRoom(false, Promises.ALL, able(unit, UnitPacker::isSound));
+        return put(unit, RoomSearch.find(cluster, unit.shape, room));
+    }
+
+    private boolean put(GuaranteeUnit unit, List<PartPlacement> found) {
+        if (!found.isEmpty()) {
+            plan.put(unit, found);
+        }
+        return !found.isEmpty();
+    }
+
+    private static Predicate<ServerState> able(GuaranteeUnit unit, Predicate<ServerState> usable) {
+        return server -> usable.test(server) && Cluster.isCapable(server, unit.capabilities);
+    }
+
+    /**
+     * Moves an empty unit to a place that nothing holds, pushing at most a few empty units elsewhere; false and no
+     * change when there is none.
+     */
+    boolean moveToFree(GuaranteeUnit unit, Predicate<ServerState> usable) {
+        List<PartPlacement> origin = unit.placements;
+        plan.lift(unit);
+        LayeredRoom unpromised = new LayeredRoom(true, Promises.ALL, able(unit, usable));
+        if (put(unit, RoomSearch.find(cluster, unit.shape, unpromised))) {
+            return true;
+        }
+        LayeredRoom movable = new LayeredRoom(true, Promises.ANCHORED, able(unit, usable));
+        List<PartPlacement> found = RoomSearch.find(cluster, unit.shape, movable);
+        if (!found.isEmpty() && displace(unit, found)) {
+            return true;
+        }
+        if (!origin.isEmpty()) {
+            plan.put(unit, origin);
+        }
+        return false;
+    }
+
+    private boolean displace(GuaranteeUnit unit, List<PartPlacement> target) {
+        List<GuaranteeUnit> displaced = overlapping(unit.shape.part(), target);
+        if (displaced.size() > MOST_DISPLACED || displaced.stream().anyMatch(other -> !other.isEmpty())) {
+            return false;
+        }
+        Map<GuaranteeUnit, List<PartPlacement>> origins = new LinkedHashMap<>();
+        displaced.forEach(other -> origins.put(other, other.placements));
+        displaced.forEach(plan::lift);
+        plan.put(unit, target);
+        if (packAll(displaced, WIDEST_FIRST)) {
+            return true;
+        }
+        plan.lift(unit);
+        origins.forEach(plan::put);
+        return false;
+    }
+
+    /** Units that a shape at a target would collide with, in accelerators or in amounts. */
+    List<GuaranteeUnit> overlapping(PartResources part, List<PartPlacement> target) {
+        Map<String, Holding> wanted = new TreeMap<>();
+        target.forEach(placement -> wanted.computeIfAbsent(placement.server(), name -> new Holding())
+                .add(part, placement.firstAccelerator()));
+        Set<GuaranteeUnit> found = new LinkedHashSet<>();
+        wanted.forEach((name, holding) -> {
+            ServerState server = cluster.findOrAdd(name);
+            boolean crowded = server.announced() != null
+                    && (server.announced().cores() < server.promised.cores + holding.cores
+                            || server.announced().memoryMebibytes()
+                                    < server.promised.memoryMebibytes + holding.memoryMebibytes
+                            || server.announced().slots() < server.promised.slots + holding.slots);
+            plan.unitsOn(name).stream()
+                    .filter(unit ->
+                            crowded && unit.isEmpty() || (unit.area.get(name).accelerators & holding.accelerators) != 0)
+                    .forEach(found::add);
+        });
+        return List.copyOf(found);
+    }
+
+    /** Moves an empty unit to a place where others may have to make way; false and no change when they cannot. */
+    boolean moveTo(GuaranteeUnit unit, List<PartPlacement> target) {
+        List<PartPlacement> origin = unit.placements;
+        plan.lift(unit);
+        if (displace(unit, target)) {
+            return true;
+        }
+        if (!origin.isEmpty()) {
+            plan.put(unit, origin);
+        }
+        return false;
+    }
+
+    /**
+     * Restores the witness after servers were lost or came back, or guarantees changed.
+     *
+     * @return jobs that ran inside a unit and now run on borrowed capacity, because their unit had to move
+     */
+    List<TrackedJob> restore() {
+        plan.units().stream()
+                .filter(unit -> unit.isEmpty() && unit.isPlaced() && !isSound(unit))
+                .forEach(plan::lift);
+        List<GuaranteeUnit> unplaced =
+                plan.units().stream().filter(unit -> !unit.isPlaced()).toList();
+        if (unplaced.isEmpty() || packAll(unplaced) || repackEmpty()) {
+            return List.of();
+        }
+        List<TrackedJob> freed = repackMovable();
+        if (freed.isEmpty()) {
+            shareShortfall();
+        }
+        return freed;
+    }
+
+    private boolean isSound(GuaranteeUnit unit) {
+        return unit.area.entrySet().stream().allMatch(entry -> {
+            ServerState server = cluster.find(entry.getKey());
+            return server != null && isSound(server) && fitsAnnouncement(server);
+        });
+    }
+
+    /** A server may announce less than before; then its promises no longer hold. */
+    private static boolean fitsAnnouncement(ServerState server) {
+        return (server.promised.accelerators & ~server.allAccelerators()) == 0
+                && server.promised.cores <= server.announced().cores()
+                && server.promised.memoryMebibytes <= server.announced().memoryMebibytes()
+                && server.promised.slots <= server.announced().slots();
+    }
+
+    private boolean repackEmpty() {
+        List<GuaranteeUnit> empty =
+                plan.units().stream().filter(GuaranteeUnit::isEmpty).toList();
+        Map<GuaranteeUnit, List<PartPlacement>> origins = liftAll(empty);
+        if (packAll(empty)) {
+            return true;
+        }
+        origins.forEach(plan::put);
+        return false;
+    }
+
+    private Map<GuaranteeUnit, List<PartPlacement>> liftAll(List<GuaranteeUnit> wanted) {
+        Map<GuaranteeUnit, List<PartPlacement>> origins = new LinkedHashMap<>();
+        for (GuaranteeUnit unit : wanted) {
+            if (unit.isPlaced()) {
+                origins.put(unit, unit.placements);
+                plan.lift(unit);
+            }
+        }
+        return origins;
+    }
+
+    /**
+     * Frees more and more units whose occupants can all be checkpointed, until everything packs. The occupants go on
+     * where they are on borrowed capacity, and are stopped only when somebody needs their place.
+     */
+    private List<TrackedJob> repackMovable() {
+        List<GuaranteeUnit> movable = plan.units().stream()
+                .filter(unit -> !unit.isEmpty()
+                        && !unit.excess
+                        && unit.occupants.stream().allMatch(UnitPacker::mayMove))
+                .sorted(Comparator.comparingInt(unit -> unit.shape.totalAccelerators()))
+                .toList();
+        for (int count = 1; count < 2 * movable.size(); count *= 2) {
+            List<GuaranteeUnit> chosen = movable.subList(0, Math.min(count, movable.size()));
+            Map<GuaranteeUnit, List<TrackedJob>> occupants = new LinkedHashMap<>();
+            chosen.forEach(unit -> occupants.put(unit, List.copyOf(unit.occupants)));
+            occupants.values().forEach(jobs -> jobs.forEach(plan::leave));
+            Map<GuaranteeUnit, List<PartPlacement>> before = new LinkedHashMap<>();
+            chosen.forEach(unit -> before.put(unit, unit.placements));
+            if (repackEmpty()) {
+                return stayWherePossible(occupants, before);
+            }
+            occupants.forEach((unit, jobs) -> jobs.forEach(job -> plan.enter(unit, job)));
+        }
+        return List.of();
+    }
+
+    private List<TrackedJob> stayWherePossible(
+            Map<GuaranteeUnit, List<TrackedJob>> occupants, Map<GuaranteeUnit, List<PartPlacement>> before) {
+        List<TrackedJob> freed = new ArrayList<>();
+        occupants.forEach((unit, jobs) -> {
+            boolean stayed = new HashSet<>(unit.placements).equals(new HashSet<>(before.get(unit)));
+            jobs.forEach(job -> {
+                if (stayed) {
+                    plan.enter(unit, job);
+                } else {
+                    freed.add(job);
+                }
+            });
+        });
+        return freed;
+    }
+
+    private static boolean mayMove(TrackedJob job) {
+        return job.attempt != null && job.request.template().checkpointable();
+    }
+
+    /**
+     * Shares what is left when not all units fit: the team with the smallest part of its guaranteed accelerators placed
+     * gets the next unit, largest units first, ties by name. Occupied units stay.
+     */
+    private void shareShortfall() {
+        List<GuaranteeUnit> empty =
+                plan.units().stream().filter(GuaranteeUnit::isEmpty).toList();
+        liftAll(empty);
+        Map<String, Double> total = new TreeMap<>();
+        Map<String, Double> placed = new TreeMap<>();
+        Map<String, List<GuaranteeUnit>> open = new TreeMap<>();
+        for (GuaranteeUnit unit : plan.units()) {
+            double size = Math.max(0.1, unit.shape.totalAccelerators());
+            total.merge(unit.team, size, Double::sum);
+            placed.merge(unit.team, unit.isPlaced() ? size : 0, Double::sum);
+        }
+        empty.stream()
+                .sorted(WHOLE_FIRST)
+                .forEach(unit -> open.computeIfAbsent(unit.team, team -> new ArrayList<>())
+                        .add(unit));
+        while (!open.isEmpty()) {
+            String team = open.keySet().stream()
+                    .min(Comparator.comparingDouble(name -> placed.get(name) / total.get(name)))
+                    .orElseThrow();
+            GuaranteeUnit unit = open.get(team).removeFirst();
+            if (pack(unit)) {
+                placed.merge(team, Math.max(0.1, unit.shape.totalAccelerators()), Double::sum);
+            }
+            if (open.get(team).isEmpty()) {
+                open.remove(team);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/UnitRoom.java
@@ -0,0 +1,60 @@
+package org.teaselwood.policy;
+
+import java.util.Map;
+import java.util.function.Predicate;
+
+/**
+ * Room inside the area of a unit. Immutable view.
+ *
+ * @param unit the unit
+ * @param occupied what occupants take of the area, by server
+ * @param free whether what attempts hold or claim is left out
+ * @param usable servers that may be used
+ */
+record UnitRoom(GuaranteeUnit unit, Map<String, Holding> occupied, boolean free, Predicate<ServerState> usable)
+        implements Room {
+    UnitRoom(GuaranteeUnit unit, boolean free, Predicate<ServerState> usable) {
+        this(unit, unit.occupied, free, usable);
+    }
+
+    private Holding area(ServerState server) {
+        return unit.area.getOrDefault(server.name(), Holding.NOTHING);
+    }
+
+    private Holding occupied(ServerState server) {
+        return occupied.getOrDefault(server.name(), Holding.NOTHING);
+    }
+
+    @Override
+    public boolean accepts(ServerState server) {
+        return usable.test(server);
+    }
+
+    @Override
+    public long accelerators(ServerState server) {
+        long inside = area(server).accelerators & ~occupied(server).accelerators;
+        return free ? inside & server.freeAccelerators() & ~server.claimed.accelerators : inside;
+    }
+
+    @Override
+    public int cores(ServerState server) {
+        int inside = area(server).cores - occupied(server).cores;
+        int outside = server.announced().cores() - server.held.cores - server.claimed.cores;
+        return free ? Math.min(inside, outside) : inside;
+    }
+
+    @Override
+    public int memoryMebibytes(ServerState server) {
+        int inside = area(server).memoryMebibytes - occupied(server).memoryMebibytes;
+        int outside =
+                server.announced().memoryMebibytes() - server.held.memoryMebibytes - server.claimed.memoryMebibytes;
+        return free ? Math.min(inside, outside) : inside;
+    }
+
+    @Override
+    public int slots(ServerState server) {
+        int inside = area(server).slots - occupied(server).slots;
+        int outside = server.announced().slots() - server.held.slots - server.claimed.slots;
+        return free ? Math.min(inside, outside) : inside;
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/WaitLimits.java
@@ -0,0 +1,145 @@
+package org.teaselwood.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.ServiceState;
+import org.teaselwood.model.Shape;
+import org.teaselwood.model.Team;
+
+/** Ends jobs that must not or cannot start, and looks after what only time makes due. Confined to one thread. */
+final class WaitLimits {
+    /** A job that no set of servers could run ends after this time; capacity may be away briefly. */
+    static final long IMPOSSIBLE_WAIT_MILLISECONDS = 60_000;
+
+    /** The check for impossible jobs and leaving servers is made this often. */
+    private static final long PERIOD_MILLISECONDS = 5_000;
+
+    private final PolicyState state;
+    private final PriorityQueue<TrackedJob> byDeadline =
+            new PriorityQueue<>(Comparator.<TrackedJob>comparingLong(job -> job.request.deadlineMilliseconds())
+                    .thenComparingLong(job -> job.sequence));
+    private long nextCheckMilliseconds;
+    private String lastTeamTried = "";
+
+    WaitLimits(PolicyState state) {
+        this.state = state;
+    }
+
+    /** Remembers the deadline of a job. */
+    void watch(TrackedJob job) {
+        if (job.request.deadlineMilliseconds() != Long.MAX_VALUE) {
+            byDeadline.add(job);
+        }
+    }
+
+    /** Ends what is due. */
+    void tick() {
+        endPastDeadline();
+        resumePaused();
+        tryOneTeam();
+        if (state.now >= nextCheckMilliseconds) {
+            nextCheckMilliseconds = state.now + PERIOD_MILLISECONDS;
+            endImpossible();
+            emptyLeavingServers();
+        }
+    }
+
+    private void endPastDeadline() {
+        while (!byDeadline.isEmpty() && byDeadline.peek().request.deadlineMilliseconds() < state.now) {
+            TrackedJob job = byDeadline.remove();
+            boolean waits = state.jobs.get(job.request.job()) == job && job.attempt == null && job.claim == null;
+            if (waits) {
+                state.end(job, ErrorKind.DEADLINE_EXCEEDED, List.of());
+            } else if (job.claim != null) {
+                byDeadline.add(job);
+                return;
+            }
+        }
+    }
+
+    private void resumePaused() {
+        if (state.now >= state.pausedUntilMilliseconds) {
+            state.pausedUntilMilliseconds = Long.MAX_VALUE;
+            state.capacityFreed = true;
+            state.configuration.teams().keySet().forEach(state::teamUnitsChanged);
+        }
+    }
+
+    /** Tries one team in turn, whatever is remembered of earlier tries. */
+    private void tryOneTeam() {
+        List<String> teams = List.copyOf(state.configuration.teams().keySet());
+        if (teams.isEmpty()) {
+            return;
+        }
+        lastTeamTried = teams.stream()
+                .filter(team -> team.compareTo(lastTeamTried) > 0)
+                .findFirst()
+                .orElse(teams.getFirst());
+        state.teamUnitsChanged(lastTeamTried);
+    }
+
+    private void endImpossible() {
+        List<TrackedJob> over = new ArrayList<>();
+        for (WaitingClass home : state.queue.classes()) {
+            if (isPossible(home)) {
+                home.impossibleSinceMilliseconds = -1;
+            } else if (home.impossibleSinceMilliseconds < 0) {
+                home.impossibleSinceMilliseconds = state.now;
+            }
+            if (home.impossibleSinceMilliseconds >= 0
+                    && state.now - home.impossibleSinceMilliseconds >= IMPOSSIBLE_WAIT_MILLISECONDS) {
+                over.addAll(home.jobs.values());
+            }
+        }
+        over.forEach(job -> state.end(job, ErrorKind.IMPOSSIBLE, List.of(reason(job.waitingClass))));
+    }
+
+    private boolean isPossible(WaitingClass home) {
+        Shape shape = home.key.template().shape();
+        Team team = state.configuration.teams().get(home.key.team());
+        if (team != null && team.acceleratorQuota() < shape.totalAccelerators()) {
+            return false;
+        }
+        return (home.mayBorrow() || isInsideGuarantee(home))
+                && state.cluster.fitsWhenEmpty(
+                        shape,
+                        server -> Cluster.isCapable(server, home.key.template().capabilities())
+                                && !home.key.failedServers().contains(server.name()));
+    }
+
+    /** Whether a unit of the team is at least as large, by part and in all, and able to do the work. */
+    private boolean isInsideGuarantee(WaitingClass home) {
+        Shape shape = home.key.template().shape();
+        return state.plan.unitsOf(home.key.team()).stream()
+                .anyMatch(unit -> !unit.excess
+                        && unit.shape.part().accelerators() >= shape.part().accelerators()
+                        && unit.shape.totalAccelerators() >= shape.totalAccelerators()
+                        && unit.shape.part().cores() >= shape.part().cores()
+                        && unit.shape.part().memoryMebibytes() >= shape.part().memoryMebibytes()
+                        && unit.shape.part().slots() >= shape.part().slots());
+    }
+
+    private String reason(WaitingClass home) {
+        String needs =
+                home.key.template().shape() + " with " + home.key.template().capabilities();
+        return home.mayBorrow() || isInsideGuarantee(home)
+                ? needs
+                : needs + "; it cannot be stopped, and no guarantee of the team holds it";
+    }
+
+    /** Moves checkpointable work off servers that operators take out of service. */
+    private void emptyLeavingServers() {
+        state.configuration.serverStates().forEach((name, service) -> {
+            ServerState server = state.cluster.find(name);
+            if (service != ServiceState.IN_SERVICE && server != null) {
+                List.copyOf(server.attempts).stream()
+                        .filter(attempt -> attempt.started
+                                && attempt.job.request.template().checkpointable())
+                        .forEach(attempt -> state.reclaim(attempt, "backend server " + name + " is leaving"));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
@@ -0,0 +1,286 @@
+package org.teaselwood.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.teaselwood.policy.PolicyFixture.PLAIN;
+import static org.teaselwood.policy.PolicyFixture.attempt;
+import static org.teaselwood.policy.PolicyFixture.ends;
+import static org.teaselwood.policy.PolicyFixture.guarantee;
+import static org.teaselwood.policy.PolicyFixture.places;
+import static org.teaselwood.policy.PolicyFixture.reclaims;
+import static org.teaselwood.policy.PolicyFixture.server;
+import static org.teaselwood.policy.PolicyFixture.shape;
+import static org.teaselwood.policy.PolicyFixture.team;
+import static org.teaselwood.policy.PolicyFixture.template;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.model.Level;
+import org.teaselwood.model.Shape;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.model.Template;
+import org.teaselwood.policy.PolicyDecision.Place;
+import org.teaselwood.policy.PolicyDecision.Probe;
+import org.teaselwood.policy.PolicyDecision.Quarantine;
+import org.teaselwood.policy.PolicyDecision.Reclaim;
+import org.teaselwood.policy.PolicyDecision.Throttle;
+
+/** Guarantees, borrowing, reclaim and the rules around failing work. */
+class GuaranteeSchedulerTest {
+    private static final Shape HALF = shape(1, 4, Level.SERVER);
+    private static final Shape ONE = shape(1, 1, Level.SERVER);
+
+    private final PolicyFixture fixture = new PolicyFixture(new GuaranteeScheduler());
+
+    private void borrowEverything(int count, String team, Shape shape, boolean checkpointable) {
+        for (int index = 0; index < count; index++) {
+            String job = team + index;
+            fixture.submit(fixture.request(job, team, template(shape, checkpointable), true, false));
+            fixture.started(job, 1);
+        }
+    }
+
+    /** Guards against a team that cannot get its shape back from borrowers (P1). */
+    @Test
+    void a_team_reclaims_its_guarantee_from_borrowers() {
+        fixture.withServers(3, 4).withTeams(team("a", 100, guarantee(shape(2, 4, Level.RACK), 1)), team("b", 100));
+        borrowEverything(12, "b", ONE, true);
+        fixture.now = 60_000;
+        List<Reclaim> victims = reclaims(fixture.submit(fixture.request("gang", "a", shape(2, 4, Level.RACK))));
+        assertThat(victims).hasSize(8);
+        assertThat(victims.getFirst().graceMilliseconds()).isAtMost(3_000L);
+        fixture.now += 3_000;
+        Place place = null;
+        for (Reclaim victim : victims) {
+            assertThat(place).isNull();
+            fixture.send(new PolicyEvent.AttemptCheckpointed(victim.attempt()));
+            List<PolicyDecision> made =
+                    fixture.send(new PolicyEvent.AttemptEnded(victim.attempt(), AttemptResult.STOPPED, List.of()));
+            place = places(made).stream()
+                    .filter(decision -> decision.attempt().equals(attempt("gang", 1)))
+                    .findFirst()
+                    .orElse(null);
+        }
+        assertThat(place.guaranteed()).isTrue();
+    }
+
+    /** Guards against a reclaim that stops costly work although cheaper work holds an equal place. */
+    @Test
+    void the_cheapest_victims_are_chosen() {
+        fixture.withServers(2, 4).withTeams(team("a", 100, guarantee(HALF, 2)), team("b", 100));
+        fixture.submit(fixture.request("costly", "b", template(HALF, false), true, false));
+        fixture.started("costly", 1);
+        fixture.submit(fixture.request("cheap", "b", template(HALF, true), true, false));
+        fixture.started("cheap", 1);
+        fixture.now = 600_000;
+        assertThat(reclaims(fixture.submit(fixture.request("x", "a", HALF))).stream()
+                        .map(Reclaim::attempt))
+                .containsExactly(attempt("cheap", 1));
+    }
+
+    /** Guards against a guarantee that reclaims although its place can move to free room. */
+    @Test
+    void an_empty_unit_moves_to_free_room_instead_of_reclaiming() {
+        fixture.withServers(2, 4).withTeams(team("a", 100, guarantee(HALF, 1)), team("b", 100));
+        fixture.submit(fixture.request("b0", "b", HALF));
+        fixture.submit(fixture.request("b1", "b", HALF));
+        fixture.ended("b0", 1, AttemptResult.SUCCEEDED);
+        List<PolicyDecision> made = fixture.submit(fixture.request("x", "a", HALF));
+        assertThat(reclaims(made)).isEmpty();
+        assertThat(places(made).getFirst().guaranteed()).isTrue();
+    }
+
+    /** Guards against promises that no cluster can keep. */
+    @Test
+    void guarantees_that_cannot_be_packed_are_refused() {
+        fixture.withServers(3, 4);
+        Configuration fits = new Configuration(1, Map.of(), Map.of("a", team("a", 1, guarantee(HALF, 3))), Map.of());
+        fixture.scheduler.checkGuarantees(fits);
+        Configuration tooMany = new Configuration(
+                1, Map.of(), Map.of("a", team("a", 1, guarantee(shape(1, 3, Level.SERVER), 4))), Map.of());
+        TeaselwoodException refused =
+                assertThrows(TeaselwoodException.class, () -> fixture.scheduler.checkGuarantees(tooMany));
+        assertThat(refused.kind()).isEqualTo(ErrorKind.GUARANTEES_DO_NOT_FIT);
+    }
+
+    /** Guards against work on borrowed capacity that could neither run again nor be checkpointed. */
+    @Test
+    void work_that_cannot_stop_runs_only_inside_its_guarantee() {
+        fixture.withServers(2, 4).withTeams(team("a", 100, guarantee(HALF, 1)));
+        Template fixed = template(HALF, false);
+        assertThat(places(fixture.submit(fixture.request("x", "a", fixed, false, false))))
+                .hasSize(1);
+        assertThat(fixture.submit(fixture.request("y", "a", fixed, false, false)))
+                .isEmpty();
+        assertThat(places(fixture.ended("x", 1, AttemptResult.SUCCEEDED))).hasSize(1);
+    }
+
+    /** Guards against urgent work that waits for ordinary work of its own team. */
+    @Test
+    void urgent_work_displaces_ordinary_work_of_its_team() {
+        fixture.withServers(1, 4).withTeams(team("a", 100, guarantee(HALF, 1)));
+        fixture.submit(fixture.request("ordinary", "a", HALF));
+        fixture.started("ordinary", 1);
+        fixture.now = 1_000;
+        List<Reclaim> victims =
+                reclaims(fixture.submit(fixture.request("urgent", "a", template(HALF, true), true, true)));
+        assertThat(victims.stream().map(Reclaim::attempt)).containsExactly(attempt("ordinary", 1));
+        assertThat(places(fixture.ended("ordinary", 1, AttemptResult.STOPPED))
+                        .getFirst()
+                        .attempt())
+                .isEqualTo(attempt("urgent", 1));
+    }
+
+    /** Guards against guarantees that are lost with a server although others have room. */
+    @Test
+    void a_lost_server_is_replaced_by_moving_work_that_can_be_checkpointed() {
+        fixture.withServers(3, 4)
+                .withTeams(team("a", 9, guarantee(HALF, 1)), team("b", 9, guarantee(shape(2, 1, Level.SERVER), 1)));
+        fixture.submit(fixture.request("a0", "a", HALF));
+        fixture.submit(fixture.request("b0", "b", shape(2, 1, Level.SERVER)));
+        String lost =
+                places(fixture.decisions).getFirst().placements().getFirst().server();
+        fixture.send(new PolicyEvent.ServerLost(lost));
+        assertThat(places(fixture.ended("a0", 1, AttemptResult.LOST, lost))
+                        .getFirst()
+                        .guaranteed())
+                .isTrue();
+    }
+
+    /** Guards against a shortfall that one team bears alone or that nobody is told of. */
+    @Test
+    void a_shortfall_is_shared_and_explained() {
+        fixture.withServers(4, 4).withTeams(team("a", 9, guarantee(HALF, 2)), team("b", 9, guarantee(HALF, 2)));
+        fixture.send(new PolicyEvent.ServerLost("s00"));
+        fixture.send(new PolicyEvent.ServerLost("s01"));
+        fixture.tick(1_000);
+        GuaranteePlan plan = ((GuaranteeScheduler) fixture.scheduler).plan();
+        assertThat(plan.unitsOf("a").stream().filter(GuaranteeUnit::isPlaced)).hasSize(1);
+        assertThat(plan.unitsOf("b").stream().filter(GuaranteeUnit::isPlaced)).hasSize(1);
+        fixture.submit(fixture.request("x", "a", HALF));
+        assertThat(fixture.scheduler
+                        .explain(new JobIdentifier("x"), fixture.now)
+                        .getLast())
+                .contains("capacity is below the guarantees");
+    }
+
+    /** Guards against a bad server that fails one job after another, and against blaming the jobs for it. */
+    @Test
+    void a_server_that_fails_different_jobs_is_quarantined_and_probed() {
+        fixture.withServers(2, 4);
+        for (int index = 0; index < 3; index++) {
+            String job = "j" + index;
+            fixture.submit(fixture.request(job, "t", HALF));
+            String used =
+                    places(fixture.decisions).getLast().placements().getFirst().server();
+            fixture.ended(job, 1, AttemptResult.FAILED, used);
+            fixture.ended(job, 2, AttemptResult.SUCCEEDED);
+        }
+        assertThat(fixture.decisions).contains(new Quarantine("s00"));
+        fixture.submit(fixture.request("one", "t", HALF));
+        fixture.submit(fixture.request("two", "t", HALF));
+        assertThat(places(fixture.decisions).getLast().attempt()).isEqualTo(attempt("one", 1));
+        assertThat(fixture.tick(ServerHealth.FIRST_PROBE_MILLISECONDS)).contains(new Probe("s00"));
+        assertThat(places(fixture.send(new PolicyEvent.ProbeEnded("s00", true))))
+                .hasSize(1);
+    }
+
+    /** Guards against retries without end by a team whose work always fails. */
+    @Test
+    void a_team_without_retry_budget_gets_the_failure_at_once() {
+        fixture.withServers(2, 4);
+        for (int index = 0; index <= RetryBudget.CAPACITY; index++) {
+            String job = "j" + index;
+            fixture.submit(fixture.request(job, "t", ONE));
+            fixture.ended(job, 1, AttemptResult.FAILED);
+            fixture.send(new PolicyEvent.JobCancelled(new JobIdentifier(job)));
+            fixture.ended(job, 2, AttemptResult.STOPPED);
+        }
+        assertThat(ends(fixture.decisions).getLast().kind()).isEqualTo(ErrorKind.RETRY_BUDGET_EXHAUSTED);
+    }
+
+    /** Guards against work that takes more than it declared from its neighbours. */
+    @Test
+    void overuse_is_throttled_and_then_stopped() {
+        fixture.withServers(1, 4);
+        fixture.submit(fixture.request("x", "t", ONE));
+        for (int report = 0; report < AttemptEvents.REPORTS_BEFORE_STOP; report++) {
+            fixture.send(new PolicyEvent.UsageReported(attempt("x", 1), 2.0, 0));
+        }
+        assertThat(fixture.decisions).contains(new Throttle(attempt("x", 1)));
+        assertThat(reclaims(fixture.decisions)).hasSize(1);
+    }
+
+    /** Guards against a large gang that small jobs starve. */
+    @Test
+    void a_large_gang_displaces_small_borrowed_work_once_its_wait_exceeds_the_cost() {
+        fixture.withServers(3, 4);
+        borrowEverything(12, "b", ONE, true);
+        fixture.submit(fixture.request("gang", "c", shape(3, 4, Level.RACK)));
+        assertThat(reclaims(fixture.tick(1_000))).isEmpty();
+        assertThat(reclaims(fixture.tick(20_000))).hasSize(12);
+    }
+
+    /** Guards against a job that waits without end behind work that cannot be checkpointed. */
+    @Test
+    void an_overdue_job_displaces_any_later_borrowed_work() {
+        fixture.withServers(1, 4);
+        Shape two = shape(1, 2, Level.SERVER);
+        fixture.submit(fixture.request("early", "b", template(two, false), true, false));
+        fixture.submit(fixture.request("waits", "c", template(HALF, false), true, false));
+        fixture.now = 1;
+        fixture.submit(fixture.request("late", "b", template(two, false), true, false));
+        fixture.started("late", 1);
+        fixture.ended("early", 1, AttemptResult.SUCCEEDED);
+        assertThat(reclaims(fixture.tick(FairQueue.OVERDUE_MILLISECONDS - 2))).isEmpty();
+        assertThat(reclaims(fixture.tick(1)).stream().map(Reclaim::attempt)).containsExactly(attempt("late", 1));
+    }
+
+    /** Guards against urgent work that waits behind a wave of cancellations. */
+    @Test
+    void ten_thousand_cancellations_do_not_delay_urgent_work() {
+        fixture.withServers(4, 4).withTeams(team("a", 10, guarantee(HALF, 1)), team("b", 20_000));
+        borrowEverything(16, "b", ONE, true);
+        for (int index = 0; index < 10_000; index++) {
+            fixture.submit(fixture.request("w" + index, "b", ONE));
+        }
+        long before = System.nanoTime();
+        for (int index = 0; index < 10_000; index++) {
+            fixture.send(new PolicyEvent.JobCancelled(new JobIdentifier("w" + index)));
+        }
+        assertThat(reclaims(fixture.submit(fixture.request("urgent", "a", template(HALF, true), true, true))))
+                .hasSize(4);
+        // The wave takes tens of milliseconds; the bound only rejects a search for each cancellation.
+        assertThat(System.nanoTime() - before).isLessThan(2_000_000_000L);
+    }
+
+    /** Guards against a takeover that forgets which work is guaranteed, or starts it twice. */
+    @Test
+    void adopted_guaranteed_work_enters_its_unit() {
+        fixture.withServers(3, 4).withTeams(team("a", 10, guarantee(HALF, 1)));
+        fixture.send(new PolicyEvent.JobAdopted(
+                fixture.request("x", "a", HALF), attempt("x", 4), List.of(new PartPlacement(0, "s02", 0)), true, 0));
+        GuaranteeUnit unit =
+                ((GuaranteeScheduler) fixture.scheduler).plan().unitsOf("a").getFirst();
+        assertThat(unit.area.keySet()).containsExactly("s02");
+        assertThat(unit.occupants).hasSize(1);
+        assertThat(places(fixture.tick(1_000))).isEmpty();
+        fixture.ended("x", 4, AttemptResult.LOST);
+        assertThat(places(fixture.decisions).getLast().attempt()).isEqualTo(attempt("x", 5));
+    }
+
+    /** Guards against work on servers that only lack the capability. */
+    @Test
+    void capability_goes_before_room() {
+        fixture.send(new PolicyEvent.ServerJoined(server(0, 8, Set.of("other"))));
+        fixture.send(new PolicyEvent.ServerJoined(server(1, 4, PLAIN)));
+        fixture.submit(fixture.request("x", "t", HALF));
+        assertThat(places(fixture.decisions).getFirst().placements().getFirst().server())
+                .isEqualTo("s01");
+    }
+}
