--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
@@ -59,7 +59,16 @@
                         EntryMessage.ToAgents.class,
                         EntryMessage.ForwardedRequest.class,
                         EntryMessage.ForwardedReply.class,
-                        EntryMessage.ForwardedRequestAbandoned.class));
+                        EntryMessage.ForwardedRequestAbandoned.class,
+                        EntryMessage.KnownEntries.class,
+                        EntryMessage.SnapshotRequest.class,
+                        EntryMessage.SnapshotComplete.class,
+                        EntryMessage.SilentAgents.class,
+                        EntryMessage.AnswersMissing.class,
+                        EntryMessage.JobRecord.class,
+                        EntryMessage.KeyClaim.class,
+                        EntryMessage.JobTableChange.class,
+                        EntryMessage.JobTableAcknowledged.class));
         register(
                 96,
                 List.of(
