--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -1,20 +1,250 @@
 package org.teaselwood.entry.core;
 
+import java.util.HashSet;
+import java.util.Set;
+import org.teaselwood.entry.membership.Membership;
+import org.teaselwood.entry.placer.Placer;
+import org.teaselwood.entry.relay.AgentRelay;
 import org.teaselwood.model.Configuration;
+import org.teaselwood.model.ErrorKind;
 import org.teaselwood.policy.Scheduler;
+import org.teaselwood.protocol.message.AgentMessage;
+import org.teaselwood.protocol.message.EntryMessage;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.FrontReply.Refused;
+import org.teaselwood.protocol.message.FrontRequest;
+import org.teaselwood.protocol.message.Message;
 
-/** The state machine of an entry. Deterministic, without clock, thread or I/O; confined to one thread. */
+/**
+ * The state machine of an entry: membership, relay, placer and the requests of its fronts. Deterministic, without
+ * clock, thread or I/O; confined to one thread. Messages of the entry to itself are handled within the same event.
+ */
 public final class EntryCore {
+    private final EntryContext context;
+    private final Membership membership;
+    private final Outbox outbox;
+    private final AgentRelay relay;
+    private final Placer placer;
+    private final FrontDesk desk;
+    /** Connections of agents. */
+    private final Set<Long> agentLinks = new HashSet<>();
+
+    private boolean announcedReady;
+    private long leavingSince;
+    private boolean drained;
+
     /** A core that has heard of nobody yet. */
-    public EntryCore(EntryCoreSettings settings, Scheduler scheduler, EntryEffects effects) {}
+    public EntryCore(EntryCoreSettings settings, Scheduler scheduler, EntryEffects effects) {
+        context = new EntryContext(settings, effects);
+        membership = new Membership(context);
+        outbox = new Outbox(context, membership);
+        relay = new AgentRelay(context, outbox, membership);
+        placer = new Placer(context, outbox, membership, scheduler, this::replyTo);
+        desk = new FrontDesk(context, outbox, membership, placer);
+    }
 
     /**
      * Handles one event.
      *
      * @param nowMilliseconds monotonic time of the event; never falls
      */
-    public void handle(EntryEvent event, long nowMilliseconds) {}
+    public void handle(EntryEvent event, long nowMilliseconds) {
+        context.advance(nowMilliseconds);
+        switch (event) {
+            case EntryEvent.LinkAccepted ignored -> {}
+            case EntryEvent.LinkConnected connected -> membership.connected(connected.link());
+            case EntryEvent.ConnectFailed ignored -> {}
+            case EntryEvent.MessageReceived received -> received(received.link(), received.message());
+            case EntryEvent.LinkClosed closed -> closed(closed.link());
+            case EntryEvent.FrontRequested requested -> requested(requested.token(), requested.request());
+            case EntryEvent.FrontAbandoned abandoned -> desk.abandoned(abandoned.token());
+            case EntryEvent.StoreReplied replied -> context.store().replied(replied.token(), replied.reply());
+            case EntryEvent.ConfigurationMayHaveChanged ignored -> {}
+            case EntryEvent.ShutdownRequested ignored -> leave();
+            case EntryEvent.Tick ignored -> tick();
+        }
+        settle();
+    }
 
     /** Puts a configuration in force if its revision is higher than that of the present one. */
-    public void applyConfiguration(Configuration configuration, long nowMilliseconds) {}
+    public void applyConfiguration(Configuration configuration, long nowMilliseconds) {
+        context.advance(nowMilliseconds);
+        if (configuration.revision() > context.configuration().revision()) {
+            context.apply(configuration);
+            relay.configurationChanged();
+            placer.configurationChanged();
+            settle();
+        }
+    }
+
+    /** Whether this entry places at present; for tests and the status page. */
+    public boolean placing() {
+        return placer.role() == Placer.Role.ACTIVE;
+    }
+
+    private void tick() {
+        context.store().tick(context.now());
+        if (membership.tick()) {
+            relay.entriesChanged();
+        }
+        relay.tick();
+        placer.tick();
+        desk.tick();
+        announceReadiness();
+        if (context.leaving()) {
+            drain();
+        }
+    }
+
+    /** Handles the messages of the entry to itself, then sends what is batched. */
+    private void settle() {
+        handleLocal();
+        placer.flush();
+        handleLocal();
+        if (outbox.due()) {
+            outbox.flush();
+            handleLocal();
+        }
+    }
+
+    private void handleLocal() {
+        EntryMessage message = nextLocal();
+        while (message != null) {
+            fromEntry(context.self(), message);
+            message = nextLocal();
+        }
+    }
+
+    private EntryMessage nextLocal() {
+        outbox.flushLocal();
+        return outbox.nextLocal();
+    }
+
+    private void received(long link, Message message) {
+        switch (message) {
+            case EntryMessage.EntryHello hello -> {
+                if (!agentLinks.contains(link) && membership.greeted(link, hello)) {
+                    placer.entryConnected(hello.address().entry());
+                }
+            }
+            case EntryMessage entryMessage ->
+                membership
+                        .entryOf(link)
+                        .ifPresentOrElse(
+                                entry -> fromEntry(entry, entryMessage),
+                                () -> context.effects().closeLink(link));
+            case AgentMessage agentMessage
+            when membership.entryOf(link).isEmpty() -> {
+                agentLinks.add(link);
+                relay.received(link, agentMessage);
+            }
+            default -> context.effects().closeLink(link);
+        }
+    }
+
+    private void closed(long link) {
+        if (agentLinks.remove(link)) {
+            relay.closed(link);
+        } else {
+            membership.closed(link);
+        }
+    }
+
+    private void fromEntry(String entry, EntryMessage message) {
+        switch (message) {
+            case EntryMessage.EntryHello ignored -> {}
+            case EntryMessage.EntryHeartbeat heartbeat -> membership.heard(entry, heartbeat);
+            case EntryMessage.KnownEntries known -> membership.learned(known.entries());
+            case EntryMessage.FromAgents batch -> placer.fromAgents(batch);
+            case EntryMessage.AgentSnapshots snapshots -> placer.snapshots(snapshots);
+            case EntryMessage.SnapshotComplete complete -> placer.snapshotsComplete(entry, complete);
+            case EntryMessage.SnapshotRequest request -> {
+                context.observeTerm(request.term());
+                relay.snapshotsRequested(entry, request.term());
+            }
+            case EntryMessage.SilentAgents silent -> placer.silent(entry, silent);
+            case EntryMessage.ToAgents commands -> {
+                context.observeTerm(commands.term());
+                relay.commanded(entry, commands);
+            }
+            case EntryMessage.ForwardedRequest forwarded -> forwarded(entry, forwarded);
+            case EntryMessage.ForwardedReply reply -> desk.replied(entry, reply.token(), reply.reply());
+            case EntryMessage.ForwardedRequestAbandoned abandoned ->
+                placer.abandon(new Requester(entry, abandoned.token()));
+            case EntryMessage.JobTableChange change -> {
+                context.observeTerm(change.term());
+                placer.mirror().received(entry, change);
+            }
+            case EntryMessage.JobTableAcknowledged acknowledged ->
+                placer.mirror().acknowledged(entry, acknowledged);
+            case EntryMessage.JobRecord ignored -> {}
+            case EntryMessage.KeyClaim ignored -> {}
+        }
+    }
+
+    private void forwarded(String entry, EntryMessage.ForwardedRequest message) {
+        Requester requester = new Requester(entry, message.token());
+        if (!placer.request(requester, message.request())) {
+            replyTo(requester, Refused.of(ErrorKind.NO_PLACER));
+        }
+    }
+
+    private void requested(long token, FrontRequest request) {
+        switch (request) {
+            case FrontRequest.QueryConfiguration ignored ->
+                context.effects().reply(token, new FrontReply.ConfigurationReply(context.configuration()));
+            case FrontRequest.ChangeConfiguration ignored ->
+                context.effects().reply(token, Refused.of(ErrorKind.NOT_READY, "configuration changes"));
+            default -> {
+                if (context.ready()) {
+                    desk.requested(token, request);
+                } else {
+                    context.effects().reply(token, Refused.of(ErrorKind.NOT_READY, "looking for other entries"));
+                }
+            }
+        }
+    }
+
+    private void replyTo(Requester requester, FrontReply reply) {
+        if (requester.entry().equals(context.self())) {
+            desk.replied(requester.entry(), requester.token(), reply);
+        } else {
+            outbox.toEntry(requester.entry(), new EntryMessage.ForwardedReply(requester.token(), reply));
+        }
+    }
+
+    private void announceReadiness() {
+        boolean ready = context.ready() && !context.leaving();
+        if (ready != announcedReady) {
+            announcedReady = ready;
+            context.effects().readinessChanged(ready, ready ? "" : "stopping");
+        }
+    }
+
+    /** The standby gets what is missing before the others hear that this entry is leaving. */
+    private void leave() {
+        if (context.leaving()) {
+            return;
+        }
+        settle();
+        context.startLeaving();
+        leavingSince = context.now();
+        announceReadiness();
+        membership.announce();
+        relay.leave();
+        desk.leave();
+    }
+
+    private void drain() {
+        boolean late = context.now() - leavingSince >= context.timings().leavingMilliseconds();
+        boolean alone = membership.ranking().isEmpty();
+        boolean handedOver = alone || placer.role() == Placer.Role.PASSIVE;
+        boolean done = desk.isEmpty() && placer.idle() && handedOver && (alone || relay.isEmpty());
+        if (!drained && (late || done)) {
+            drained = true;
+            desk.close();
+            outbox.flush();
+            context.effects().drained();
+        }
+    }
 }
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/Outbox.java
@@ -0,0 +1,152 @@
+package org.teaselwood.entry.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.teaselwood.entry.membership.Membership;
+import org.teaselwood.model.Term;
+import org.teaselwood.protocol.message.AgentCommand;
+import org.teaselwood.protocol.message.AgentMessage;
+import org.teaselwood.protocol.message.EntryMessage;
+
+/**
+ * Sends messages to entries, this one included, and collects messages of and to agents into batches. The order of
+ * messages to one entry is kept. A batch leaves at the end of an event, but at most every
+ * {@value #BATCH_MILLISECONDS} ms, so that a burst of events shares a frame; the rest leaves with the next event.
+ */
+public final class Outbox {
+    private static final long BATCH_MILLISECONDS = 1;
+    private static final int BATCH_BYTES = 256 * 1024;
+    private static final int MESSAGE_BYTES = 300;
+    private static final int PART_BYTES = 600;
+
+    private final EntryContext context;
+    private final Membership membership;
+    private final Deque<EntryMessage> local = new ArrayDeque<>();
+    private final Map<String, Batch<EntryMessage.FromAgent>> fromAgents = new TreeMap<>();
+    private final Map<String, Batch<EntryMessage.ToAgent>> toAgents = new TreeMap<>();
+    private Term term = Term.NONE;
+    private long flushedAt = Long.MIN_VALUE;
+
+    Outbox(EntryContext context, Membership membership) {
+        this.context = context;
+        this.membership = membership;
+    }
+
+    /** Sends a message to an entry after all that was batched for it. Lost when the entry is not connected. */
+    public void toEntry(String entry, EntryMessage message) {
+        flushFromAgents(entry);
+        flushToAgents(entry);
+        deliver(entry, message);
+    }
+
+    /** Adds a command of this placer to the batch for a relay. */
+    public void toAgent(Term commandTerm, String relay, String server, AgentCommand command) {
+        if (!commandTerm.equals(term)) {
+            flush();
+            term = commandTerm;
+        }
+        Batch<EntryMessage.ToAgent> batch = toAgents.computeIfAbsent(relay, name -> new Batch<>());
+        batch.add(new EntryMessage.ToAgent(server, command), sizeOf(command));
+        if (batch.bytes >= BATCH_BYTES) {
+            flushToAgents(relay);
+        }
+    }
+
+    /** Adds a message of an agent to the batch for a placer. */
+    public void fromAgent(String placer, EntryMessage.FromAgent message) {
+        int bytes = sizeOf(message.message());
+        Batch<EntryMessage.FromAgent> batch = fromAgents.computeIfAbsent(placer, name -> new Batch<>());
+        if (batch.bytes + bytes > BATCH_BYTES) {
+            flushFromAgents(placer);
+            batch = fromAgents.computeIfAbsent(placer, name -> new Batch<>());
+        }
+        batch.add(message, bytes);
+    }
+
+    /** The next message of this entry to itself, null for none. */
+    EntryMessage nextLocal() {
+        return local.poll();
+    }
+
+    /** Whether batches are due. */
+    boolean due() {
+        return context.now() - BATCH_MILLISECONDS >= flushedAt;
+    }
+
+    /** Hands the batches of this entry to itself over; they need not wait. */
+    void flushLocal() {
+        flushFromAgents(context.self());
+        flushToAgents(context.self());
+    }
+
+    void flush() {
+        flushedAt = context.now();
+        List.copyOf(fromAgents.keySet()).forEach(this::flushFromAgents);
+        List.copyOf(toAgents.keySet()).forEach(this::flushToAgents);
+    }
+
+    /** Estimated size of an agent's message on the wire, in bytes. */
+    public static int sizeOf(AgentMessage message) {
+        return switch (message) {
+            case AgentMessage.AnswerPart answer -> MESSAGE_BYTES + answer.content().length;
+            case AgentMessage.AgentHello hello ->
+                MESSAGE_BYTES
+                        + hello.parts().stream()
+                                .mapToInt(part -> PART_BYTES
+                                        + textBytes(part.specification().parameters()))
+                                .sum();
+            default -> MESSAGE_BYTES;
+        };
+    }
+
+    /** Estimated size of texts on the wire, in bytes. */
+    public static int textBytes(Map<String, String> texts) {
+        return texts.entrySet().stream()
+                .mapToInt(
+                        entry -> 3 * (entry.getKey().length() + entry.getValue().length()))
+                .sum();
+    }
+
+    private static int sizeOf(AgentCommand command) {
+        return command instanceof AgentCommand.Hold hold
+                ? PART_BYTES + textBytes(hold.specification().parameters())
+                : MESSAGE_BYTES;
+    }
+
+    private void flushFromAgents(String placer) {
+        Batch<EntryMessage.FromAgent> batch = fromAgents.remove(placer);
+        if (batch != null) {
+            deliver(placer, new EntryMessage.FromAgents(context.self(), batch.elements));
+        }
+    }
+
+    private void flushToAgents(String relay) {
+        Batch<EntryMessage.ToAgent> batch = toAgents.remove(relay);
+        if (batch != null) {
+            deliver(relay, new EntryMessage.ToAgents(term, batch.elements));
+        }
+    }
+
+    private void deliver(String entry, EntryMessage message) {
+        if (entry.equals(context.self())) {
+            local.add(message);
+        } else {
+            membership.linkOf(entry).ifPresent(link -> context.effects().send(link, message));
+        }
+    }
+
+    /** Messages that leave together, with their estimated size. */
+    private static final class Batch<T> {
+        private final List<T> elements = new ArrayList<>();
+        private int bytes;
+
+        void add(T element, int size) {
+            elements.add(element);
+            bytes += size;
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobStore.java
@@ -0,0 +1,241 @@
+package org.teaselwood.entry.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.teaselwood.entry.core.EntryContext;
+import org.teaselwood.entry.core.StoreCall;
+import org.teaselwood.entry.core.StoreReply;
+import org.teaselwood.model.Answer;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.model.Term;
+import org.teaselwood.protocol.message.EntryMessage.JobRecord;
+import org.teaselwood.protocol.message.EntryMessage.KeyClaim;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueCondition;
+import org.teaselwood.store.KeyValueOperation;
+
+/**
+ * Writes job records to the key-value service. At most one write of a job is open; changes meanwhile are written
+ * afterwards as one. Every write compares the revision that this placer knows, so that a record changed by another
+ * placer is never overwritten.
+ */
+public final class JobStore {
+    private static final long RETRY_MILLISECONDS = 500;
+
+    private final EntryContext context;
+    private final TransactionBatcher batcher;
+    private final Listener listener;
+    private final Map<JobIdentifier, Open> open = new TreeMap<>();
+    private final Map<JobIdentifier, Long> retries = new TreeMap<>();
+    private Term term = Term.NONE;
+
+    /** Told about records. */
+    public interface Listener {
+        /** The record of a version is in the key-value service. */
+        void written(Job job, long version);
+
+        /** Another placer or region wrote the record or claimed the request key. */
+        void conflicted(Job job, Optional<KeyValue> current);
+
+        /** The service did not answer the write of a record; it is repeated until its fate is known. */
+        void delayed(Job job);
+    }
+
+    /** A store without open writes. */
+    public JobStore(EntryContext context, TransactionBatcher batcher, Listener listener) {
+        this.context = context;
+        this.batcher = batcher;
+        this.listener = listener;
+    }
+
+    /** Writes are made under a term from now on; what was open under an earlier one is not reported any more. */
+    public void begin(Term newTerm) {
+        term = newTerm;
+        open.clear();
+        retries.clear();
+    }
+
+    /** Writes the present state of a job, and its answer when there is one. */
+    public void save(Job job, Optional<Answer> answer) {
+        if (!job.recorded()) {
+            return;
+        }
+        Open writing = open.get(job.identifier());
+        if (writing != null) {
+            writing.again = true;
+            writing.answer = answer.or(() -> writing.answer);
+            return;
+        }
+        Open started = new Open(job, answer);
+        open.put(job.identifier(), started);
+        start(started);
+    }
+
+    /** Whether a write of the job is open. */
+    public boolean writing(Job job) {
+        return open.containsKey(job.identifier());
+    }
+
+    /** Whether no write is open. */
+    public boolean idle() {
+        return open.isEmpty() && batcher.idle();
+    }
+
+    /** Repeats reads that failed. */
+    public void tick() {
+        List<JobIdentifier> due = retries.entrySet().stream()
+                .filter(entry -> entry.getValue() <= context.now())
+                .map(Map.Entry::getKey)
+                .toList();
+        due.forEach(job -> {
+            retries.remove(job);
+            Optional.ofNullable(open.get(job)).ifPresent(this::start);
+        });
+    }
+
+    /** Deletes a job's record, answer and claim. */
+    public void delete(Job job) {
+        if (!job.recorded()) {
+            return;
+        }
+        String region = context.settings().region();
+        List<KeyValueOperation> operations = new ArrayList<>();
+        operations.add(new KeyValueOperation.Delete(JobKeys.record(region, job.identifier())));
+        operations.add(new KeyValueOperation.Delete(JobKeys.answer(region, job.identifier())));
+        if (!job.repeatable()) {
+            operations.add(new KeyValueOperation.Delete(JobKeys.claim(job.submission())));
+        }
+        batcher.add(new TransactionBatcher.Write(
+                JobKeys.record(region, job.identifier()), new byte[0], List.of(), operations, new Ignored()));
+    }
+
+    private void start(Open writing) {
+        if (writing.job.storeRevision() == Job.REVISION_UNKNOWN) {
+            learnRevision(writing);
+        } else {
+            write(writing);
+        }
+    }
+
+    private void learnRevision(Open writing) {
+        String key = JobKeys.record(context.settings().region(), writing.job.identifier());
+        context.store().call(new StoreCall.Get(key), reply -> {
+            if (open.get(writing.job.identifier()) != writing) {
+                return;
+            }
+            if (!(reply instanceof StoreReply.Value value)) {
+                retries.put(writing.job.identifier(), context.now() + RETRY_MILLISECONDS);
+                return;
+            }
+            boolean newer = value.value()
+                    .map(found -> JobKeys.decode(found.value(), JobRecord.class))
+                    .filter(record -> record.version() > writing.job.version()
+                            || record.state().isFinal() && !writing.job.state().isFinal())
+                    .isPresent();
+            if (newer) {
+                open.remove(writing.job.identifier());
+                listener.conflicted(writing.job, value.value());
+                return;
+            }
+            writing.job.storeRevision(value.value().map(KeyValue::revision).orElse(0L));
+            write(writing);
+        });
+    }
+
+    private void write(Open writing) {
+        Job job = writing.job;
+        String region = context.settings().region();
+        String key = JobKeys.record(region, job.identifier());
+        long version = job.version();
+        byte[] value = JobKeys.encode(job.record(term, context.settings().incarnation()));
+        List<KeyValueCondition> conditions = new ArrayList<>();
+        List<KeyValueOperation> operations = new ArrayList<>();
+        conditions.add(new KeyValueCondition(key, job.storeRevision()));
+        operations.add(new KeyValueOperation.Put(key, value, 0));
+        if (job.storeRevision() == 0 && !job.repeatable()) {
+            String claim = JobKeys.claim(job.submission());
+            byte[] claimed = JobKeys.encode(new KeyClaim(job.identifier(), region));
+            conditions.add(new KeyValueCondition(claim, 0));
+            operations.add(new KeyValueOperation.Put(claim, claimed, 0));
+        }
+        writing.answer.ifPresent(answer -> operations.add(
+                new KeyValueOperation.Put(JobKeys.answer(region, job.identifier()), answer.content(), 0)));
+        writing.again = false;
+        batcher.add(
+                new TransactionBatcher.Write(key, value, conditions, operations, new Reporter(writing, version, term)));
+    }
+
+    /** The open write of one job. */
+    private static final class Open {
+        private final Job job;
+        private Optional<Answer> answer;
+        private boolean again;
+
+        Open(Job job, Optional<Answer> answer) {
+            this.job = job;
+            this.answer = answer;
+        }
+    }
+
+    /** Reports one write of a job. */
+    private final class Reporter implements TransactionBatcher.Listener {
+        private final Open writing;
+        private final long version;
+        private final Term writeTerm;
+
+        Reporter(Open writing, long version, Term writeTerm) {
+            this.writing = writing;
+            this.version = version;
+            this.writeTerm = writeTerm;
+        }
+
+        @Override
+        public void written(long revision) {
+            if (outdated()) {
+                return;
+            }
+            writing.job.stored(version, revision);
+            if (writing.again) {
+                write(writing);
+            } else {
+                open.remove(writing.job.identifier());
+            }
+            listener.written(writing.job, version);
+        }
+
+        @Override
+        public void conflicted(Optional<KeyValue> current) {
+            if (outdated()) {
+                return;
+            }
+            open.remove(writing.job.identifier());
+            listener.conflicted(writing.job, current);
+        }
+
+        @Override
+        public void delayed() {
+            if (!outdated()) {
+                listener.delayed(writing.job);
+            }
+        }
+
+        private boolean outdated() {
+            return !writeTerm.equals(term) || open.get(writing.job.identifier()) != writing;
+        }
+    }
+
+    /** A deletion needs no report: it is repeated until it took effect. */
+    private static final class Ignored implements TransactionBatcher.Listener {
+        @Override
+        public void written(long revision) {}
+
+        @Override
+        public void conflicted(Optional<KeyValue> current) {}
+
+        @Override
+        public void delayed() {}
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobWaiters.java
@@ -0,0 +1,77 @@
+package org.teaselwood.entry.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.teaselwood.entry.core.Requester;
+import org.teaselwood.model.JobIdentifier;
+
+/** Callers that wait for a job to change. Each waiter is answered once: at the change, or at its timeout. */
+public final class JobWaiters {
+    private final Map<Requester, Waiter> waiters = new TreeMap<>();
+    private final Map<JobIdentifier, List<Requester>> ofJob = new TreeMap<>();
+
+    /** One waiting caller. Immutable. */
+    private record Waiter(JobIdentifier job, long version, boolean untilFinal, long deadline) {
+        boolean isDue(Job changed) {
+            return changed.state().isFinal() || !untilFinal && changed.version() > version;
+        }
+    }
+
+    /** Adds a waiter; a repeated request replaces the earlier one. */
+    public void add(Requester requester, JobIdentifier job, long version, boolean untilFinal, long deadline) {
+        remove(requester);
+        waiters.put(requester, new Waiter(job, version, untilFinal, deadline));
+        ofJob.computeIfAbsent(job, key -> new ArrayList<>()).add(requester);
+    }
+
+    /** The caller has gone. */
+    public void remove(Requester requester) {
+        Waiter waiter = waiters.remove(requester);
+        if (waiter != null) {
+            List<Requester> others = ofJob.get(waiter.job());
+            others.remove(requester);
+            if (others.isEmpty()) {
+                ofJob.remove(waiter.job());
+            }
+        }
+    }
+
+    /** Answers the waiters for which a change of the job is enough. */
+    public void changed(Job job, BiConsumer<Requester, Job> answer) {
+        List<Requester> due = ofJob.getOrDefault(job.identifier(), List.of()).stream()
+                .filter(requester -> waiters.get(requester).isDue(job))
+                .toList();
+        due.forEach(requester -> {
+            remove(requester);
+            answer.accept(requester, job);
+        });
+    }
+
+    /** Answers the waiters whose timeout has passed. */
+    public void tick(long now, BiConsumer<Requester, JobIdentifier> answer) {
+        List<Map.Entry<Requester, Waiter>> due = waiters.entrySet().stream()
+                .filter(entry -> entry.getValue().deadline() <= now)
+                .toList();
+        due.forEach(entry -> {
+            remove(entry.getKey());
+            answer.accept(entry.getKey(), entry.getValue().job());
+        });
+    }
+
+    /** Number of waiters. */
+    public int size() {
+        return waiters.size();
+    }
+
+    /** Removes all waiters and passes them to an action. */
+    public void drain(Consumer<Requester> action) {
+        List<Requester> all = List.copyOf(waiters.keySet());
+        waiters.clear();
+        ofJob.clear();
+        all.forEach(action);
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Peer.java
@@ -0,0 +1,79 @@
+package org.teaselwood.entry.membership;
+
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+import org.teaselwood.protocol.message.EntryMessage;
+
+/** Another entry of the region, as this entry observes it. */
+final class Peer {
+    private EntryAddress address;
+    /** Open connections in the order of their handshakes; the first is used for sending. */
+    private final Set<Long> links = new LinkedHashSet<>();
+
+    private String incarnation = "";
+    /** Rises with every handshake, so that requests sent over an older connection are repeated. */
+    private long generation;
+
+    private long heardAt;
+    private EntryMessage.EntryHeartbeat heartbeat;
+
+    Peer(EntryAddress address, long now) {
+        this.address = address;
+        this.heardAt = now;
+    }
+
+    void greeted(EntryMessage.EntryHello hello, long link, long now) {
+        if (!incarnation.equals(hello.incarnation())) {
+            heartbeat = null;
+        }
+        address = hello.address();
+        incarnation = hello.incarnation();
+        links.add(link);
+        generation++;
+        heardAt = now;
+    }
+
+    void heard(EntryMessage.EntryHeartbeat message, long now) {
+        heartbeat = message;
+        heardAt = now;
+    }
+
+    void closed(long link) {
+        links.remove(link);
+        generation++;
+    }
+
+    Set<Long> links() {
+        return links;
+    }
+
+    Optional<Long> link() {
+        return links.stream().findFirst();
+    }
+
+    EntryAddress address() {
+        return address;
+    }
+
+    long generation() {
+        return generation;
+    }
+
+    long heardAt() {
+        return heardAt;
+    }
+
+    boolean alive(long now, long suspicionMilliseconds) {
+        return heartbeat != null && now - heardAt < suspicionMilliseconds;
+    }
+
+    boolean eligible() {
+        return heartbeat != null && heartbeat.ready() && !heartbeat.leaving();
+    }
+
+    long revision() {
+        return heartbeat == null ? 0 : heartbeat.configurationRevision();
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Attempt.java
@@ -0,0 +1,197 @@
+package org.teaselwood.entry.placer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.teaselwood.entry.jobs.Job;
+import org.teaselwood.model.AttemptIdentifier;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.PartPhase;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.policy.AttemptResult;
+import org.teaselwood.policy.PartPlacement;
+import org.teaselwood.protocol.message.TaskSpecification;
+
+/** One open attempt with its parts. */
+final class Attempt {
+    private final AttemptIdentifier identifier;
+    private final Job job;
+    private final TaskSpecification specification;
+    private final List<AttemptPart> parts = new ArrayList<>();
+    private final long createdAt;
+
+    /** The identifier by which the policy knows the attempt; numbers on the wire differ between terms. */
+    private AttemptIdentifier policyIdentifier;
+
+    private Stage stage;
+    private long commitSentAt;
+    /** Version of the job whose record carries the starting mark. */
+    private long markVersion;
+    /** Whether a start was or may have been sent. */
+    private boolean startSent;
+
+    private AttemptResult result;
+    private List<String> blamed = List.of();
+    private String failure = "";
+    private long graceMilliseconds;
+    /** Ends the job whatever its kind, null for none. */
+    private ErrorKind finalKind;
+
+    /** Steps of an attempt. */
+    enum Stage {
+        HOLDING,
+        MARKING,
+        COMMITTING,
+        STARTING,
+        RUNNING,
+        /** Parts are released or stopped; the attempt ends when all are. */
+        ENDING,
+        /** A new placer finds out how far the attempt got. */
+        RECOVERING
+    }
+
+    Attempt(AttemptIdentifier identifier, Job job, TaskSpecification specification, Stage stage, long now) {
+        this.identifier = identifier;
+        this.job = job;
+        this.specification = specification;
+        this.stage = stage;
+        this.createdAt = now;
+        this.startSent = stage == Stage.RECOVERING;
+    }
+
+    void enter(Stage next) {
+        stage = next;
+    }
+
+    void markedBy(long version) {
+        markVersion = version;
+        stage = Stage.MARKING;
+    }
+
+    void commit(long now) {
+        commitSentAt = now;
+        stage = Stage.COMMITTING;
+    }
+
+    void start() {
+        startSent = true;
+        stage = Stage.STARTING;
+    }
+
+    void end(AttemptResult newResult, List<String> servers, String text, long grace) {
+        stage = Stage.ENDING;
+        result = newResult;
+        blamed = servers;
+        failure = text;
+        graceMilliseconds = grace;
+    }
+
+    /** The attempt shows that the job can never succeed. */
+    void failForGood(TeaselwoodException exception) {
+        finalKind = exception.kind();
+        end(AttemptResult.FAILED, List.of(), exception.getMessage(), 0);
+    }
+
+    /** A later request may shorten the time for a checkpoint, never lengthen it. */
+    void shortenGrace(long grace) {
+        graceMilliseconds = Math.min(graceMilliseconds, grace);
+    }
+
+    void knownToPolicyAs(AttemptIdentifier name) {
+        policyIdentifier = name;
+    }
+
+    boolean all(Predicate<AttemptPart> condition) {
+        return parts.stream().allMatch(condition);
+    }
+
+    List<String> serversOf(Predicate<AttemptPart> condition) {
+        return parts.stream()
+                .filter(condition)
+                .map(AttemptPart::server)
+                .filter(server -> !server.isEmpty())
+                .distinct()
+                .toList();
+    }
+
+    /** Whether any part may have run. */
+    boolean mayHaveRun() {
+        return parts.stream().anyMatch(part -> part.started() || part.lost() && startSent);
+    }
+
+    boolean spansServers() {
+        return serversOf(part -> true).size() > 1;
+    }
+
+    /** Whether all parts have the same newest checkpoint, from which the job can be resumed. */
+    int commonCheckpoint() {
+        return parts.stream().mapToInt(AttemptPart::checkpoint).min().orElse(0);
+    }
+
+    boolean stoppedWhole() {
+        return all(part -> part.phase() == PartPhase.STOPPED);
+    }
+
+    List<PartPlacement> placements() {
+        return parts.stream()
+                .filter(part -> !part.server().isEmpty() && (part.phase() != null || stage != Stage.RECOVERING))
+                .map(part -> new PartPlacement(part.index(), part.server(), part.firstAccelerator()))
+                .toList();
+    }
+
+    AttemptIdentifier identifier() {
+        return identifier;
+    }
+
+    AttemptIdentifier policyIdentifier() {
+        return policyIdentifier;
+    }
+
+    Job job() {
+        return job;
+    }
+
+    TaskSpecification specification() {
+        return specification;
+    }
+
+    List<AttemptPart> parts() {
+        return parts;
+    }
+
+    Stage stage() {
+        return stage;
+    }
+
+    long createdAt() {
+        return createdAt;
+    }
+
+    long commitSentAt() {
+        return commitSentAt;
+    }
+
+    long markVersion() {
+        return markVersion;
+    }
+
+    AttemptResult result() {
+        return result;
+    }
+
+    List<String> blamed() {
+        return blamed;
+    }
+
+    String failure() {
+        return failure;
+    }
+
+    ErrorKind finalKind() {
+        return finalKind;
+    }
+
+    long graceMilliseconds() {
+        return graceMilliseconds;
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/AttemptProtocol.java
@@ -0,0 +1,419 @@
+package org.teaselwood.entry.placer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import org.teaselwood.entry.placer.Attempt.Stage;
+import org.teaselwood.entry.relay.PartKey;
+import org.teaselwood.model.Answer;
+import org.teaselwood.model.AttemptIdentifier;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.PartPhase;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.policy.AttemptResult;
+import org.teaselwood.protocol.message.AgentCommand;
+import org.teaselwood.protocol.message.AgentMessage;
+
+/**
+ * Carries attempts through hold, commit, start, stop and release. After every report an attempt is advanced as far as
+ * its parts allow; commands that the present stage needs are sent and repeated until the part's phase shows that they
+ * were carried out. {@code Start} is sent only after all parts of a gang have committed and with at least half of the
+ * commit time left, so no part starts of a gang of which another part has been released.
+ */
+final class AttemptProtocol {
+    private static final String HOLD = "Hold";
+    private static final String COMMIT = "Commit";
+    private static final String START = "Start";
+    private static final String STOP = "Stop";
+    private static final String RELEASE = "Release";
+
+    /** Running attempts are many and need no repeated commands but those for missing answers. */
+    private static final long SLOW_TICK_MILLISECONDS = 1_000;
+
+    private final PlacerState state;
+    private final AttemptListener listener;
+    private long renewedAt = Long.MIN_VALUE;
+    private long slowTickAt = Long.MIN_VALUE;
+
+    AttemptProtocol(PlacerState state, AttemptListener listener) {
+        this.state = state;
+        this.listener = listener;
+    }
+
+    /** Brings an attempt as far as its parts allow and sends what is due. */
+    void advance(Attempt attempt) {
+        Stage before;
+        do {
+            before = attempt.stage();
+            step(attempt);
+        } while (before != attempt.stage() && isOpen(attempt));
+        if (isOpen(attempt)) {
+            attempt.parts().forEach(part -> drive(attempt, part));
+        }
+    }
+
+    /** An agent reported a part, in reply to a request (an empty name for none). */
+    void report(KnownAgent agent, AgentMessage.PartReply reply) {
+        state.attempt(reply.report().attempt()).ifPresent(attempt -> {
+            int index = reply.report().part();
+            if (index < 0 || index >= attempt.parts().size()) {
+                return;
+            }
+            AttemptPart part = attempt.parts().get(index);
+            if (!part.server().equals(agent.name())) {
+                if (attempt.stage() != Stage.RECOVERING || !part.server().isEmpty()) {
+                    return;
+                }
+                part.seenAt(agent.name(), agent.incarnation());
+            }
+            if (!part.incarnation().equals(agent.incarnation())) {
+                // A restarted agent knows nothing of a part that it does not list; its fence proves nothing.
+                if (!reply.report().phase().mayHaveRun()) {
+                    part.lose();
+                    advance(attempt);
+                    return;
+                }
+                part.seenAt(agent.name(), agent.incarnation());
+            }
+            int checkpoint = attempt.commonCheckpoint();
+            part.report(reply.report(), state.now());
+            if (!reply.refusal().isEmpty() && reply.request().equalsIgnoreCase(part.command())) {
+                part.refuse(reply.detail().isEmpty() ? reply.refusal() : reply.detail());
+            }
+            if (attempt.commonCheckpoint() > checkpoint) {
+                listener.checkpointed(attempt);
+            }
+            advance(attempt);
+        });
+    }
+
+    /** The whole answer of a part arrived; a damaged one is asked for again. */
+    void answered(KnownAgent agent, AgentMessage.AnswerPart message) {
+        state.attempt(message.attempt()).ifPresent(attempt -> {
+            if (message.part() < 0 || message.part() >= attempt.parts().size()) {
+                return;
+            }
+            AttemptPart part = attempt.parts().get(message.part());
+            if (!part.server().equals(agent.name()) || part.answer() != null) {
+                return;
+            }
+            try {
+                part.answered(Answer.verified(message.content(), message.length(), message.checksum()));
+            } catch (TeaselwoodException exception) {
+                state.context()
+                        .effects()
+                        .logged(exception.getMessage(), attempt.identifier().toString(), "");
+                if (exception.kind() != ErrorKind.ANSWER_TOO_LARGE) {
+                    return;
+                }
+                attempt.failForGood(exception);
+            }
+            advance(attempt);
+        });
+    }
+
+    /** Stops or releases the parts; the attempt ends when all are. */
+    void end(Attempt attempt, AttemptResult result, List<String> blamed, String failure, long grace) {
+        if (attempt.stage() == Stage.ENDING) {
+            attempt.shortenGrace(grace);
+        } else {
+            attempt.end(result, blamed, failure, grace);
+        }
+        advance(attempt);
+    }
+
+    /** The starting mark is in the key-value service. */
+    void marked(Attempt attempt) {
+        if (attempt.stage() == Stage.MARKING) {
+            proceed(attempt);
+            advance(attempt);
+        }
+    }
+
+    /** An agent is gone. */
+    void lost(String server) {
+        loseParts((attempt, part) -> part.server().equals(server));
+    }
+
+    /** A hello of an agent does not list parts that it acknowledged before, or that were given to an earlier one. */
+    void lostParts(KnownAgent agent, Set<PartKey> listed) {
+        loseParts((attempt, part) -> missing(attempt, part, agent, listed));
+    }
+
+    private void loseParts(BiPredicate<Attempt, AttemptPart> gone) {
+        for (Attempt attempt : state.attempts()) {
+            List<AttemptPart> parts = attempt.parts().stream()
+                    .filter(part -> gone.test(attempt, part))
+                    .toList();
+            if (!parts.isEmpty()) {
+                parts.forEach(AttemptPart::lose);
+                advance(attempt);
+            }
+        }
+    }
+
+    private static boolean missing(Attempt attempt, AttemptPart part, KnownAgent agent, Set<PartKey> listed) {
+        boolean same = part.incarnation().equals(agent.incarnation());
+        return part.server().equals(agent.name())
+                && !part.settled()
+                && !(same && part.phase() == null)
+                && !listed.contains(new PartKey(attempt.identifier(), part.index()));
+    }
+
+    /** Repeats unanswered commands, ends attempts that take too long, and renews gangs. */
+    void tick() {
+        boolean second = state.now() - SLOW_TICK_MILLISECONDS >= slowTickAt;
+        if (second) {
+            slowTickAt = state.now();
+        }
+        state.attempts().stream()
+                .filter(attempt -> second || attempt.stage() != Stage.RUNNING)
+                .forEach(this::advance);
+        if (state.now() - state.context().timings().gangRenewalMilliseconds() >= renewedAt) {
+            renewedAt = state.now();
+            renew();
+        }
+    }
+
+    private void step(Attempt attempt) {
+        Consumer<Attempt> step =
+                switch (attempt.stage()) {
+                    case HOLDING -> this::stepHolding;
+                    case MARKING -> this::stepMarking;
+                    case COMMITTING -> this::stepCommitting;
+                    case STARTING, RUNNING -> this::stepRunning;
+                    case ENDING -> this::stepEnding;
+                    case RECOVERING -> this::stepRecovering;
+                };
+        step.accept(attempt);
+    }
+
+    private void stepHolding(Attempt attempt) {
+        if (refusedBeforeStart(attempt)) {
+            return;
+        }
+        if (attempt.all(part -> part.reached(PartPhase.HELD))) {
+            if (attempt.job().repeatable()) {
+                proceed(attempt);
+            } else {
+                listener.markNeeded(attempt);
+            }
+        } else if (state.now() - attempt.createdAt() > holdMilliseconds() / 2) {
+            refuse(attempt, attempt.serversOf(part -> part.phase() == null), "the hold was not answered");
+        }
+    }
+
+    private void stepMarking(Attempt attempt) {
+        // While the mark's fate is unknown the hold may expire; nothing starts then and the mark is replaced.
+        refusedBeforeStart(attempt);
+    }
+
+    private void proceed(Attempt attempt) {
+        if (attempt.parts().size() == 1) {
+            attempt.start();
+        } else {
+            attempt.commit(state.now());
+        }
+    }
+
+    private void stepCommitting(Attempt attempt) {
+        if (refusedBeforeStart(attempt)) {
+            return;
+        }
+        boolean late = state.now() - attempt.commitSentAt() > holdMilliseconds() / 2;
+        if (late) {
+            refuse(attempt, attempt.serversOf(part -> !part.reached(PartPhase.COMMITTED)), "Commit was not answered");
+        } else if (attempt.all(part -> part.reached(PartPhase.COMMITTED))) {
+            attempt.start();
+        }
+    }
+
+    private void stepRunning(Attempt attempt) {
+        if (succeed(attempt)) {
+            return;
+        }
+        List<String> failed = attempt.serversOf(part -> part.phase() == PartPhase.FAILED);
+        if (!failed.isEmpty()) {
+            attempt.end(AttemptResult.FAILED, failed, failureOf(attempt, PartPhase.FAILED), 0);
+            return;
+        }
+        List<String> lost = attempt.serversOf(part -> part.lost() || part.phase() == PartPhase.LOST);
+        boolean broken = !lost.isEmpty()
+                || !attempt.all(part -> !part.lost() && !part.released() && part.phase() != PartPhase.STOPPED);
+        boolean refused = attempt.stage() == Stage.STARTING && !attempt.all(part -> !part.refused());
+        if (broken || refused) {
+            attempt.end(AttemptResult.LOST, lost, "a part was lost", 0);
+        } else if (attempt.stage() == Stage.STARTING && attempt.all(AttemptPart::started)) {
+            attempt.enter(Stage.RUNNING);
+            listener.started(attempt);
+        }
+    }
+
+    private void stepEnding(Attempt attempt) {
+        if (attempt.all(AttemptPart::succeeded) && attempt.all(part -> !part.lost())) {
+            succeed(attempt);
+        } else if (attempt.all(AttemptPart::settled)) {
+            state.close(attempt);
+            listener.ended(attempt);
+        }
+    }
+
+    private void stepRecovering(Attempt attempt) {
+        long lostMilliseconds = state.context().timings().agentLostMilliseconds();
+        if (state.now() - attempt.createdAt() >= lostMilliseconds) {
+            attempt.parts().stream().filter(part -> part.phase() == null).forEach(AttemptPart::lose);
+        }
+        boolean known = attempt.all(part -> part.lost() || part.started() || part.released());
+        if (!known) {
+            return;
+        }
+        if (attempt.all(AttemptPart::released)) {
+            attempt.end(AttemptResult.REFUSED, List.of(), "released by a new placer", 0);
+        } else if (attempt.all(AttemptPart::started)) {
+            attempt.enter(Stage.STARTING);
+        } else {
+            List<String> lost = attempt.serversOf(AttemptPart::lost);
+            attempt.end(AttemptResult.LOST, lost, "a part was lost during the takeover", 0);
+        }
+    }
+
+    private boolean refusedBeforeStart(Attempt attempt) {
+        List<String> servers = attempt.serversOf(part -> part.refused() || part.lost() || part.released());
+        if (servers.isEmpty()) {
+            return false;
+        }
+        refuse(
+                attempt,
+                servers,
+                attempt.parts().stream()
+                        .map(AttemptPart::failure)
+                        .filter(text -> !text.isEmpty())
+                        .findFirst()
+                        .orElse("a hold expired"));
+        return true;
+    }
+
+    private void refuse(Attempt attempt, List<String> servers, String detail) {
+        attempt.end(AttemptResult.REFUSED, servers, detail, 0);
+    }
+
+    private boolean succeed(Attempt attempt) {
+        if (!attempt.all(part -> part.succeeded() && part.answer() != null)) {
+            return false;
+        }
+        try {
+            Answer whole = Answer.join(
+                    attempt.parts().stream().map(AttemptPart::answer).toList());
+            state.close(attempt);
+            listener.succeeded(attempt, whole);
+        } catch (TeaselwoodException exception) {
+            attempt.failForGood(exception);
+            state.close(attempt);
+            listener.ended(attempt);
+        }
+        return true;
+    }
+
+    /** Sends the command that the part needs now, if it is due. */
+    private void drive(Attempt attempt, AttemptPart part) {
+        String command = commandFor(attempt, part);
+        if (command.isEmpty() || part.server().isEmpty()) {
+            return;
+        }
+        if (part.due(command, state.now(), state.context().timings().resendMilliseconds())) {
+            part.sent(command, state.now());
+            state.command(part.server(), message(attempt, part, command));
+        }
+    }
+
+    private String commandFor(Attempt attempt, AttemptPart part) {
+        if (part.lost()) {
+            return "";
+        }
+        boolean answerMissing = part.succeeded() && part.answer() == null;
+        return switch (attempt.stage()) {
+            case HOLDING -> part.phase() == null ? HOLD : "";
+            case MARKING -> "";
+            case COMMITTING -> part.reached(PartPhase.COMMITTED) ? "" : COMMIT;
+            // A repeated Start of a part that has succeeded makes the agent repeat its answer.
+            case STARTING, RUNNING -> part.started() && !overdue(part, answerMissing) ? "" : START;
+            case ENDING -> endCommand(attempt, part, answerMissing);
+            case RECOVERING -> part.started() || part.released() ? "" : RELEASE;
+        };
+    }
+
+    private String endCommand(Attempt attempt, AttemptPart part, boolean answerMissing) {
+        if (part.settled()) {
+            return overdue(part, answerMissing) && attempt.all(AttemptPart::succeeded) ? START : "";
+        }
+        return part.started() ? STOP + attempt.graceMilliseconds() : RELEASE;
+    }
+
+    private boolean overdue(AttemptPart part, boolean answerMissing) {
+        return answerMissing
+                && state.now() - part.succeededAt() >= state.context().timings().resendMilliseconds();
+    }
+
+    private AgentCommand message(Attempt attempt, AttemptPart part, String command) {
+        AttemptIdentifier identifier = attempt.identifier();
+        return switch (command) {
+            case HOLD ->
+                new AgentCommand.Hold(
+                        state.term(),
+                        identifier,
+                        part.index(),
+                        part.firstAccelerator(),
+                        attempt.specification(),
+                        holdMilliseconds());
+            case COMMIT -> new AgentCommand.Commit(state.term(), identifier, part.index(), holdMilliseconds());
+            case START -> new AgentCommand.Start(state.term(), identifier, part.index());
+            case RELEASE -> new AgentCommand.Release(state.term(), identifier, part.index());
+            default ->
+                new AgentCommand.Stop(
+                        state.term(), identifier, part.index(), attempt.graceMilliseconds(), attempt.failure());
+        };
+    }
+
+    /** Renews the gangs of which no part is on a silent agent; a gang with a part cut off stops everywhere. */
+    private void renew() {
+        Map<String, List<AttemptIdentifier>> ofServer = new TreeMap<>();
+        long suspect = state.context().timings().agentSuspectMilliseconds();
+        state.attempts().stream()
+                .filter(attempt -> attempt.parts().size() > 1)
+                .filter(attempt -> attempt.stage() != Stage.HOLDING && attempt.stage() != Stage.MARKING)
+                .filter(attempt -> attempt.all(part -> !part.lost()
+                        && (part.server().isEmpty()
+                                || state.directory()
+                                        .find(part.server())
+                                        .filter(agent -> agent.silence(state.now()) < suspect)
+                                        .isPresent())))
+                .forEach(attempt -> attempt.serversOf(part -> true)
+                        .forEach(server -> ofServer.computeIfAbsent(server, name -> new ArrayList<>())
+                                .add(attempt.identifier())));
+        ofServer.forEach((server, identifiers) ->
+                state.command(server, new AgentCommand.RenewGang(state.term(), List.copyOf(identifiers))));
+    }
+
+    private String failureOf(Attempt attempt, PartPhase phase) {
+        return attempt.parts().stream()
+                .filter(part -> part.phase() == phase)
+                .map(AttemptPart::failure)
+                .filter(text -> !text.isEmpty())
+                .findFirst()
+                .orElse(ErrorKind.TASK_FAILED.code());
+    }
+
+    private boolean isOpen(Attempt attempt) {
+        return state.attempt(attempt.identifier())
+                .filter(open -> open == attempt)
+                .isPresent();
+    }
+
+    private long holdMilliseconds() {
+        return state.context().timings().holdMilliseconds();
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/JobLifecycle.java
@@ -0,0 +1,460 @@
+package org.teaselwood.entry.placer;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import org.teaselwood.entry.jobs.Job;
+import org.teaselwood.entry.jobs.JobStore;
+import org.teaselwood.entry.placer.Attempt.Stage;
+import org.teaselwood.model.Answer;
+import org.teaselwood.model.AttemptIdentifier;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.model.JobState;
+import org.teaselwood.model.PartPhase;
+import org.teaselwood.policy.AttemptResult;
+import org.teaselwood.policy.JobRequest;
+import org.teaselwood.policy.PartPlacement;
+import org.teaselwood.policy.PolicyDecision;
+import org.teaselwood.policy.PolicyEvent;
+import org.teaselwood.protocol.message.AgentCommand;
+import org.teaselwood.protocol.message.AgentMessage;
+import org.teaselwood.protocol.message.EntryMessage.MarkedAgent;
+import org.teaselwood.protocol.message.TaskSpecification;
+
+/**
+ * Takes jobs from acceptance to their final state: carries out the decisions of the policy, tells it how attempts end,
+ * and has records written. A job that is not repeatable is given to an attempt only while the key-value service
+ * answers, and never again after it may have run, unless it was stopped whole with a checkpoint.
+ */
+final class JobLifecycle implements AttemptListener {
+    private static final long EXPIRY_MILLISECONDS = 1_000;
+
+    private final PlacerState state;
+    private final PolicyDriver policy;
+    private final AttemptProtocol protocol;
+    private JobStore store;
+    /** Jobs kept from the policy until the key-value service answers. */
+    private final TreeSet<JobIdentifier> withheld = new TreeSet<>();
+    /** Attempts whose traces at the agents are dropped when the record of a version is written. */
+    private final Map<JobIdentifier, Forgetting> forgetting = new TreeMap<>();
+
+    /** What follows the end of an attempt instead of the ordinary course. */
+    private final Map<JobIdentifier, Runnable> afterEnd = new TreeMap<>();
+
+    private final AttemptNumbers numbers;
+    private long expiredAt = Long.MIN_VALUE;
+
+    /** Servers that can drop an attempt after a version is written. Immutable. */
+    private record Forgetting(long version, AttemptIdentifier attempt, List<String> servers) {}
+
+    JobLifecycle(PlacerState state, PolicyDriver policy) {
+        this.state = state;
+        this.policy = policy;
+        this.protocol = new AttemptProtocol(state, this);
+        this.numbers = new AttemptNumbers(state.context());
+        policy.decide(this::decided);
+    }
+
+    void storeIn(JobStore jobStore) {
+        store = jobStore;
+    }
+
+    AttemptProtocol protocol() {
+        return protocol;
+    }
+
+    void clear() {
+        withheld.clear();
+        forgetting.clear();
+        afterEnd.clear();
+        numbers.clear();
+    }
+
+    /** Gives a job that waits to the policy. */
+    void schedule(Job job) {
+        if (!job.repeatable() && !state.context().store().reachable()) {
+            withheld.add(job.identifier());
+            return;
+        }
+        if (state.scheduled().add(job.identifier())) {
+            policy.feed(new PolicyEvent.JobSubmitted(requestOf(job)));
+        }
+    }
+
+    /** Gives the jobs that waited for the key-value service to the policy. */
+    void tick() {
+        if (!withheld.isEmpty() && state.context().store().reachable()) {
+            List<JobIdentifier> jobs = List.copyOf(withheld);
+            withheld.clear();
+            jobs.stream()
+                    .flatMap(job -> state.table().find(job).stream())
+                    .filter(job -> job.state() == JobState.QUEUED
+                            && state.attemptOf(job).isEmpty())
+                    .forEach(this::schedule);
+        }
+        if (state.now() - EXPIRY_MILLISECONDS >= expiredAt) {
+            expiredAt = state.now();
+            expire();
+        }
+        protocol.tick();
+    }
+
+    /** Cancels a job. */
+    void cancel(Job job) {
+        if (job.state().isFinal() || job.cancelRequested()) {
+            return;
+        }
+        job.requestCancel();
+        Optional<Attempt> attempt = state.attemptOf(job);
+        if (attempt.isEmpty()) {
+            finish(job, JobState.CANCELLED, ErrorKind.CANCELLED, cancelText(job), Optional.empty());
+            return;
+        }
+        if (attempt.get().stage() == Stage.RECOVERING) {
+            return;
+        }
+        job.stopping();
+        state.changed(job);
+        protocol.end(attempt.get(), AttemptResult.CANCELLED, List.of(), "cancelled by the caller", 0);
+    }
+
+    /** A record was written. */
+    void written(Job job, long version) {
+        state.attemptOf(job)
+                .filter(attempt -> attempt.stage() == Stage.MARKING && version >= attempt.markVersion())
+                .ifPresent(protocol::marked);
+        Forgetting due = forgetting.get(job.identifier());
+        if (due != null && version >= due.version()) {
+            forgetting.remove(job.identifier());
+            forget(due.attempt(), due.servers());
+        }
+    }
+
+    /** Makes an attempt known to the policy that another placer began. */
+    void adopt(Attempt attempt, long startedMilliseconds) {
+        Job job = attempt.job();
+        state.scheduled().add(job.identifier());
+        attempt.knownToPolicyAs(attempt.identifier());
+        policy.feed(new PolicyEvent.JobAdopted(
+                requestOf(job),
+                attempt.identifier(),
+                attempt.placements(),
+                attempt.specification().guaranteed(),
+                startedMilliseconds));
+    }
+
+    /** Ends an attempt that has not started, and then does something else than to give its job to the policy again. */
+    void endBefore(Attempt attempt, Runnable next) {
+        afterEnd.put(attempt.job().identifier(), next);
+        protocol.end(attempt, AttemptResult.CANCELLED, List.of(), "the record was changed by another placer", 0);
+    }
+
+    /** Notes the usage of a part. */
+    void used(KnownAgent agent, AgentMessage.PartUsage usage) {
+        state.attempt(usage.attempt())
+                .filter(attempt -> attempt.policyIdentifier() != null)
+                .filter(attempt ->
+                        usage.part() >= 0 && usage.part() < attempt.parts().size())
+                .filter(attempt -> attempt.parts().get(usage.part()).server().equals(agent.name()))
+                .ifPresent(attempt -> {
+                    attempt.parts().get(usage.part()).used(usage.accelerators(), usage.memoryMebibytes());
+                    double accelerators = attempt.parts().stream()
+                            .mapToDouble(AttemptPart::usedAccelerators)
+                            .sum();
+                    long memory = attempt.parts().stream()
+                            .mapToLong(AttemptPart::usedMemory)
+                            .max()
+                            .orElse(0);
+                    policy.feed(new PolicyEvent.UsageReported(attempt.policyIdentifier(), accelerators, memory));
+                });
+    }
+
+    /** Takes a job from the policy without ending it. */
+    void drop(Job job) {
+        withheld.remove(job.identifier());
+        if (state.scheduled().remove(job.identifier())) {
+            policy.feed(new PolicyEvent.JobCancelled(job.identifier()));
+        }
+    }
+
+    /** Ends a job. */
+    void finish(Job job, JobState finalState, ErrorKind kind, String text, Optional<Answer> answer) {
+        withheld.remove(job.identifier());
+        job.finished(finalState, kind, text, state.context().epoch());
+        answer.ifPresent(whole -> job.answered(whole.length(), whole.checksum()));
+        state.table().finished(job, answer);
+        state.changed(job);
+        store.save(job, answer);
+        if (state.scheduled().remove(job.identifier()) && finalState != JobState.SUCCEEDED) {
+            policy.feed(new PolicyEvent.JobCancelled(job.identifier()));
+        }
+        state.context().effects().observed("completion", job.team(), job.finishedEpoch() - job.submittedEpoch());
+    }
+
+    @Override
+    public void markNeeded(Attempt attempt) {
+        Job job = attempt.job();
+        List<MarkedAgent> agents = attempt.parts().stream()
+                .map(part -> new MarkedAgent(part.index(), part.server(), part.incarnation()))
+                .toList();
+        job.starting(attempt.identifier().number(), agents);
+        state.changed(job);
+        attempt.markedBy(job.version());
+        store.save(job, Optional.empty());
+    }
+
+    @Override
+    public void started(Attempt attempt) {
+        Job job = attempt.job();
+        if (attempt.policyIdentifier() == null) {
+            adopt(attempt, state.now());
+        }
+        job.running(state.context().epoch());
+        state.changed(job);
+        state.context().effects().observed("waiting", job.team(), job.startedEpoch() - job.submittedEpoch());
+        policy.feed(new PolicyEvent.AttemptStarted(attempt.policyIdentifier()));
+        if (job.cancelRequested()) {
+            job.stopping();
+            protocol.end(attempt, AttemptResult.CANCELLED, List.of(), "cancelled by the caller", 0);
+        }
+    }
+
+    @Override
+    public void checkpointed(Attempt attempt) {
+        if (attempt.policyIdentifier() != null) {
+            policy.feed(new PolicyEvent.AttemptCheckpointed(attempt.policyIdentifier()));
+        }
+    }
+
+    @Override
+    public void succeeded(Attempt attempt, Answer answer) {
+        Job job = attempt.job();
+        finish(job, JobState.SUCCEEDED, null, "", Optional.of(answer));
+        forgetLater(attempt);
+        tellEnd(attempt, AttemptResult.SUCCEEDED);
+    }
+
+    @Override
+    public void ended(Attempt attempt) {
+        Job job = attempt.job();
+        Runnable next = afterEnd.remove(job.identifier());
+        if (next != null) {
+            drop(job);
+            tellEnd(attempt, AttemptResult.CANCELLED);
+            next.run();
+            return;
+        }
+        boolean ran = attempt.mayHaveRun();
+        AttemptResult result =
+                ran || attempt.result() == AttemptResult.CANCELLED || attempt.result() == AttemptResult.STOPPED
+                        ? attempt.result()
+                        : AttemptResult.REFUSED;
+        if (ran) {
+            job.uncertain();
+        }
+        boolean checkpointed = job.template().checkpointable() && attempt.commonCheckpoint() > 0;
+        if (checkpointed) {
+            job.checkpointed(attempt.identifier() + "/" + attempt.commonCheckpoint());
+        }
+        boolean resumable = checkpointed && attempt.stoppedWhole();
+        if (job.cancelRequested()) {
+            finish(job, JobState.CANCELLED, ErrorKind.CANCELLED, cancelText(job), Optional.empty());
+        } else if (attempt.finalKind() != null) {
+            finish(job, JobState.FAILED, attempt.finalKind(), attempt.failure(), Optional.empty());
+        } else if (!job.repeatable() && ran && !resumable) {
+            boolean failed = attempt.result() == AttemptResult.FAILED;
+            ErrorKind kind = failed ? ErrorKind.TASK_FAILED : ErrorKind.MAY_HAVE_RUN;
+            finish(job, job.finalStateFor(kind), kind, kind.message(attempt.failure()), Optional.empty());
+        } else {
+            job.queued();
+            state.changed(job);
+            if (!job.repeatable() || checkpointed) {
+                store.save(job, Optional.empty());
+            }
+        }
+        forgetLater(attempt);
+        tellEnd(attempt, result);
+        if (job.state() == JobState.QUEUED && attempt.policyIdentifier() == null) {
+            schedule(job);
+        }
+    }
+
+    private void decided(PolicyDecision decision) {
+        switch (decision) {
+            case PolicyDecision.Place place -> place(place);
+            case PolicyDecision.Reclaim reclaim ->
+                openAttempt(reclaim.attempt()).ifPresent(attempt -> {
+                    attempt.job().stopping();
+                    state.changed(attempt.job());
+                    protocol.end(
+                            attempt, AttemptResult.STOPPED, List.of(), reclaim.reason(), reclaim.graceMilliseconds());
+                });
+            case PolicyDecision.Throttle throttle ->
+                openAttempt(throttle.attempt())
+                        .ifPresent(attempt -> attempt.parts()
+                                .forEach(part -> state.command(
+                                        part.server(),
+                                        new AgentCommand.Throttle(state.term(), attempt.identifier(), part.index()))));
+            case PolicyDecision.EndJob end -> endJob(end);
+            case PolicyDecision.Quarantine quarantine ->
+                state.context().effects().logged("quarantined " + quarantine.server(), "", "");
+            case PolicyDecision.Probe probe -> probe(probe.server());
+        }
+    }
+
+    private void place(PolicyDecision.Place place) {
+        Job job = state.table().find(place.attempt().job()).orElse(null);
+        if (job == null || job.state().isFinal() || state.attemptOf(job).isPresent()) {
+            policy.feed(new PolicyEvent.AttemptEnded(place.attempt(), AttemptResult.CANCELLED, List.of()));
+            return;
+        }
+        if (!job.repeatable() && !state.context().store().reachable()) {
+            state.scheduled().remove(job.identifier());
+            withheld.add(job.identifier());
+            policy.feed(new PolicyEvent.JobCancelled(job.identifier()));
+            policy.feed(new PolicyEvent.AttemptEnded(place.attempt(), AttemptResult.CANCELLED, List.of()));
+            return;
+        }
+        List<String> unusable = place.placements().stream()
+                .map(PartPlacement::server)
+                .distinct()
+                .filter(server -> !usable(server))
+                .toList();
+        if (!unusable.isEmpty()) {
+            unusable.forEach(server -> policy.feed(new PolicyEvent.ServerUnavailable(server)));
+            policy.feed(new PolicyEvent.AttemptEnded(place.attempt(), AttemptResult.REFUSED, unusable));
+            return;
+        }
+        open(place, job);
+    }
+
+    private boolean usable(String server) {
+        return state.directory().find(server).filter(KnownAgent::joined).isPresent();
+    }
+
+    private void open(PolicyDecision.Place place, Job job) {
+        AttemptIdentifier identifier = numbers.next(job.identifier(), state.term());
+        int servers = (int) place.placements().stream()
+                .map(PartPlacement::server)
+                .distinct()
+                .count();
+        TaskSpecification specification = Specifications.of(job, servers, place.guaranteed());
+        Attempt attempt = new Attempt(identifier, job, specification, Stage.HOLDING, state.now());
+        attempt.knownToPolicyAs(place.attempt());
+        IntStream.range(0, place.placements().size()).forEach(index -> {
+            PartPlacement placement = place.placements().get(index);
+            KnownAgent agent = state.directory().find(placement.server()).orElseThrow();
+            attempt.parts()
+                    .add(new AttemptPart(
+                            placement.part(), agent.name(), agent.incarnation(), placement.firstAccelerator()));
+        });
+        state.open(attempt);
+        job.countAttempt();
+        state.changed(job);
+        protocol.advance(attempt);
+    }
+
+    private void endJob(PolicyDecision.EndJob end) {
+        state.table()
+                .find(end.job())
+                .filter(job -> !job.state().isFinal() && state.attemptOf(job).isEmpty())
+                .ifPresent(job -> {
+                    state.scheduled().remove(job.identifier());
+                    String text = end.kind().message(end.arguments().toArray());
+                    finish(job, job.finalStateFor(end.kind()), end.kind(), text, Optional.empty());
+                });
+    }
+
+    /** A probe succeeds when the agent is heard; the next attempt on it shows whether its worker recovered. */
+    private void probe(String server) {
+        boolean heard =
+                state.directory().find(server).filter(KnownAgent::joined).isPresent();
+        policy.feed(new PolicyEvent.ProbeEnded(server, heard));
+    }
+
+    /** Ends jobs that did not start before their deadline. */
+    private void expire() {
+        long epoch = state.context().epoch();
+        List<Job> late = state.table().unfinished().stream()
+                .filter(job -> job.state() == JobState.QUEUED
+                        && job.accepted()
+                        && state.attemptOf(job).isEmpty())
+                .filter(job -> job.submission().deadlineMilliseconds() > 0
+                        && epoch - job.submittedEpoch() >= job.submission().deadlineMilliseconds())
+                .toList();
+        ErrorKind kind = ErrorKind.DEADLINE_EXCEEDED;
+        late.forEach(job -> finish(job, job.finalStateFor(kind), kind, kind.message(), Optional.empty()));
+    }
+
+    private Optional<Attempt> openAttempt(AttemptIdentifier policyIdentifier) {
+        return state.table()
+                .find(policyIdentifier.job())
+                .flatMap(state::attemptOf)
+                .filter(attempt -> policyIdentifier.equals(attempt.policyIdentifier()));
+    }
+
+    private void tellEnd(Attempt attempt, AttemptResult result) {
+        if (attempt.policyIdentifier() != null) {
+            policy.feed(new PolicyEvent.AttemptEnded(attempt.policyIdentifier(), result, attempt.blamed()));
+        }
+    }
+
+    /**
+     * Has the agents drop an attempt that ended. The traces of a job that is not repeatable, and those of an answer,
+     * are needed until the record says more than the traces.
+     */
+    private void forgetLater(Attempt attempt) {
+        Job job = attempt.job();
+        List<String> servers =
+                attempt.serversOf(part -> !part.lost() && part.phase() != null && part.phase() != PartPhase.RELEASED);
+        if (servers.isEmpty()) {
+            return;
+        }
+        boolean needed = job.recorded() && (!job.repeatable() || job.state().isFinal());
+        if (needed && job.storedVersion() < job.version()) {
+            forgetting.put(job.identifier(), new Forgetting(job.version(), attempt.identifier(), servers));
+        } else {
+            forget(attempt.identifier(), servers);
+        }
+    }
+
+    private void forget(AttemptIdentifier attempt, List<String> servers) {
+        servers.forEach(server -> {
+            state.command(server, new AgentCommand.ForgetAttempt(state.term(), attempt));
+            state.directory().find(server).ifPresent(agent -> agent.state().forget(attempt));
+        });
+    }
+
+    /** Whether the traces of an attempt are still needed. */
+    boolean keepsTraces(AttemptIdentifier attempt) {
+        Forgetting waiting = forgetting.get(attempt.job());
+        return waiting != null && waiting.attempt().equals(attempt);
+    }
+
+    private JobRequest requestOf(Job job) {
+        long epoch = state.context().settings().epochMilliseconds();
+        long submitted = job.submittedEpoch() - epoch;
+        long deadline = job.submission().deadlineMilliseconds() > 0
+                ? submitted + job.submission().deadlineMilliseconds()
+                : Long.MAX_VALUE;
+        return new JobRequest(
+                job.identifier(),
+                job.team(),
+                job.template(),
+                job.repeatable(),
+                job.submission().urgent(),
+                submitted,
+                deadline);
+    }
+
+    private static String cancelText(Job job) {
+        String started = job.startedEpoch() > 0
+                ? "it had started"
+                : job.startUncertain() ? "it may have started" : "it had not started";
+        return ErrorKind.CANCELLED.message() + "; " + started;
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
@@ -0,0 +1,291 @@
+package org.teaselwood.entry.placer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.teaselwood.entry.jobs.Job;
+import org.teaselwood.entry.jobs.JobStore;
+import org.teaselwood.entry.placer.Attempt.Stage;
+import org.teaselwood.entry.relay.PartKey;
+import org.teaselwood.model.AttemptIdentifier;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.model.JobState;
+import org.teaselwood.model.PartPhase;
+import org.teaselwood.model.PartReport;
+import org.teaselwood.model.WorkKind;
+import org.teaselwood.protocol.message.AgentCommand;
+import org.teaselwood.protocol.message.AgentMessage.HeldPart;
+import org.teaselwood.protocol.message.EntryMessage.JobRecord;
+import org.teaselwood.protocol.message.EntryMessage.MarkedAgent;
+import org.teaselwood.protocol.message.TaskSpecification;
+
+/**
+ * Rebuilds the job table of a new placer from the standby's copy, the records of the key-value service and the parts
+ * that agents report. An attempt that runs whole is adopted; one that no agent has started is released, which fences
+ * it; of a broken one the rest is stopped. A job of which the standby knows an attempt waits for its agents before it
+ * is placed again.
+ */
+final class Recovery {
+    private static final long REPEAT_MILLISECONDS = 1_000;
+
+    private final PlacerState state;
+    private final JobLifecycle lifecycle;
+    private final JobStore store;
+    /** Jobs whose agents may still report an attempt, with the time of giving up. */
+    private final Map<JobIdentifier, Long> awaited = new TreeMap<>();
+
+    private boolean due;
+    private long repeatAt = Long.MAX_VALUE;
+
+    /** A part that an agent reports. Immutable. */
+    private record Sighting(KnownAgent agent, HeldPart part) {
+        PartPhase phase() {
+            return part.report().phase();
+        }
+    }
+
+    Recovery(PlacerState state, JobLifecycle lifecycle, JobStore store) {
+        this.state = state;
+        this.lifecycle = lifecycle;
+        this.store = store;
+    }
+
+    void clear() {
+        awaited.clear();
+        due = false;
+        repeatAt = Long.MAX_VALUE;
+    }
+
+    /** Takes in a record of the standby's copy. */
+    void mirrored(JobRecord record) {
+        Job job = Job.of(record);
+        job.storeRevision(job.recorded() ? Job.REVISION_UNKNOWN : 0);
+        state.table().add(job);
+    }
+
+    /** Takes in a record of the key-value service. */
+    void recorded(JobRecord record, long revision) {
+        Optional<Job> known = state.table().find(record.job());
+        Job job = known.orElse(null);
+        if (job == null || supersedes(record, job)) {
+            known.ifPresent(this::discard);
+            Job loaded = Job.of(record);
+            loaded.stored(record.version(), revision);
+            state.table().add(loaded);
+            state.changed(loaded);
+        } else if (job.storeRevision() == Job.REVISION_UNKNOWN && !store.writing(job)) {
+            job.stored(record.version(), revision);
+            if (job.version() > record.version()) {
+                store.save(job, state.table().answer(job.identifier()));
+            }
+        }
+    }
+
+    /** Recovers what the agents report, and gives all other jobs that wait to the policy. */
+    void settle() {
+        recover();
+        long deadline = state.now() + state.context().timings().agentLostMilliseconds();
+        state.table().unfinished().stream()
+                .filter(job -> job.accepted() && state.attemptOf(job).isEmpty())
+                .filter(job -> !state.scheduled().contains(job.identifier()))
+                .forEach(job -> {
+                    if (job.markedAttempt() > 0) {
+                        open(job, new AttemptIdentifier(job.identifier(), job.markedAttempt()), List.of());
+                    } else if (job.repeatable() && job.state() != JobState.QUEUED) {
+                        awaited.putIfAbsent(job.identifier(), deadline);
+                    } else {
+                        requeue(job);
+                    }
+                });
+    }
+
+    /** An agent reported something that may belong to no open attempt. */
+    void sighted() {
+        due = true;
+    }
+
+    /** Recovers when something was reported, and gives up waiting for agents. */
+    void tick() {
+        if (due || state.now() >= repeatAt) {
+            recover();
+        }
+        List<JobIdentifier> late = awaited.entrySet().stream()
+                .filter(entry -> entry.getValue() <= state.now())
+                .map(Map.Entry::getKey)
+                .toList();
+        late.forEach(identifier -> {
+            awaited.remove(identifier);
+            state.table()
+                    .find(identifier)
+                    .filter(job ->
+                            !job.state().isFinal() && state.attemptOf(job).isEmpty())
+                    .ifPresent(this::requeue);
+        });
+    }
+
+    /** The record of a job shows a mark that this placer did not write. */
+    void recoverMarked(Job job, JobRecord record) {
+        job.starting(record.attempt(), record.marked());
+        state.changed(job);
+        open(job, new AttemptIdentifier(job.identifier(), record.attempt()), List.of());
+    }
+
+    private void requeue(Job job) {
+        job.queued();
+        state.changed(job);
+        if (job.recorded() && job.storeRevision() == Job.REVISION_UNKNOWN) {
+            store.save(job, Optional.empty());
+        }
+        lifecycle.schedule(job);
+    }
+
+    private boolean supersedes(JobRecord record, Job job) {
+        boolean ended = record.state().isFinal() && !job.state().isFinal();
+        boolean untouched = state.attemptOf(job).isEmpty() && !state.scheduled().contains(job.identifier());
+        return ended || untouched && !store.writing(job) && record.version() > job.version();
+    }
+
+    private void discard(Job job) {
+        awaited.remove(job.identifier());
+        lifecycle.drop(job);
+        state.table().remove(job);
+    }
+
+    private void recover() {
+        due = false;
+        repeatAt = Long.MAX_VALUE;
+        sightings().descendingMap().forEach(this::resolve);
+    }
+
+    private TreeMap<AttemptIdentifier, List<Sighting>> sightings() {
+        TreeMap<AttemptIdentifier, List<Sighting>> sightings = new TreeMap<>();
+        state.directory().all().stream()
+                .filter(agent -> !agent.lost())
+                .forEach(agent -> agent.state().parts().forEach((key, part) -> {
+                    if (state.attempt(key.attempt()).isEmpty() && !lifecycle.keepsTraces(key.attempt())) {
+                        sightings
+                                .computeIfAbsent(key.attempt(), attempt -> new ArrayList<>())
+                                .add(new Sighting(agent, part));
+                    }
+                }));
+        return sightings;
+    }
+
+    private void resolve(AttemptIdentifier identifier, List<Sighting> sightings) {
+        boolean worth = sightings.stream()
+                .map(Sighting::phase)
+                .anyMatch(phase -> phase == PartPhase.SUCCEEDED || phase.holdsResources() && phase.mayHaveRun());
+        boolean started =
+                sightings.stream().anyMatch(sighting -> sighting.phase().mayHaveRun());
+        Job job = state.table().find(identifier.job()).orElse(null);
+        if (job == null) {
+            if (!worth && !state.recordsLoaded()) {
+                return;
+            }
+            job = worth || !started
+                    ? create(identifier, sightings.getFirst().part().specification())
+                    : null;
+        }
+        if (job == null || job.state().isFinal() || state.attemptOf(job).isPresent()) {
+            dismiss(identifier, sightings);
+        } else if (worth || !job.repeatable() && (started || job.markedAttempt() == identifier.number())) {
+            awaited.remove(job.identifier());
+            withdraw(job);
+            open(job, identifier, sightings);
+        } else {
+            dismiss(identifier, sightings);
+        }
+    }
+
+    /** Takes a job that waits from the policy, because an attempt of it was found. */
+    private void withdraw(Job job) {
+        if (state.scheduled().contains(job.identifier())) {
+            lifecycle.drop(job);
+        }
+    }
+
+    private Job create(AttemptIdentifier identifier, TaskSpecification specification) {
+        Job job = Specifications.jobOf(
+                identifier.job(),
+                state.context().settings().region(),
+                specification,
+                state.context().configuration());
+        if (job.template().kind() == WorkKind.REQUEST && job.repeatable()) {
+            job.storeRevision(0);
+        }
+        state.table().add(job);
+        state.changed(job);
+        return job;
+    }
+
+    private void dismiss(AttemptIdentifier identifier, List<Sighting> sightings) {
+        sightings.forEach(sighting -> {
+            String server = sighting.agent().name();
+            int part = sighting.part().report().part();
+            PartPhase phase = sighting.phase();
+            if (!phase.holdsResources()) {
+                state.command(server, new AgentCommand.ForgetAttempt(state.term(), identifier));
+                sighting.agent().state().forget(identifier);
+            } else if (phase.mayHaveRun()) {
+                state.command(server, new AgentCommand.Stop(state.term(), identifier, part, 0, "superseded"));
+                repeatAt = state.now() + REPEAT_MILLISECONDS;
+            } else {
+                state.command(server, new AgentCommand.Release(state.term(), identifier, part));
+                repeatAt = state.now() + REPEAT_MILLISECONDS;
+            }
+        });
+        state.table()
+                .find(identifier.job())
+                .filter(job -> job.state() == JobState.QUEUED && job.accepted())
+                .filter(job -> state.attemptOf(job).isEmpty() && !awaited.containsKey(job.identifier()))
+                .ifPresent(lifecycle::schedule);
+    }
+
+    private void open(Job job, AttemptIdentifier identifier, List<Sighting> sightings) {
+        Map<Integer, Sighting> seen = new TreeMap<>();
+        sightings.forEach(sighting -> seen.put(sighting.part().report().part(), sighting));
+        Map<Integer, MarkedAgent> marked = new TreeMap<>();
+        if (job.markedAttempt() == identifier.number()) {
+            job.marked().forEach(agent -> marked.put(agent.part(), agent));
+        }
+        TaskSpecification specification = sightings.stream()
+                .findFirst()
+                .map(sighting -> sighting.part().specification())
+                .orElseGet(() -> Specifications.of(job, marked.size(), false));
+        Attempt attempt = new Attempt(identifier, job, specification, Stage.RECOVERING, state.now());
+        IntStream.range(0, specification.parts())
+                .mapToObj(index -> part(index, identifier, seen.get(index), marked.get(index)))
+                .forEach(attempt.parts()::add);
+        state.open(attempt);
+        if (sightings.stream().map(Sighting::phase).anyMatch(PartPhase::holdsResources)) {
+            lifecycle.adopt(attempt, state.now());
+        }
+        lifecycle.protocol().advance(attempt);
+    }
+
+    private AttemptPart part(int index, AttemptIdentifier identifier, Sighting seen, MarkedAgent marked) {
+        if (seen != null) {
+            PartReport report = seen.part().report();
+            KnownAgent agent = seen.agent();
+            AttemptPart part = new AttemptPart(index, agent.name(), agent.incarnation(), report.firstAccelerator());
+            part.report(report, state.now());
+            return part;
+        }
+        if (marked == null) {
+            return new AttemptPart(index, "", "", -1);
+        }
+        AttemptPart part = new AttemptPart(index, marked.server(), marked.incarnation(), -1);
+        boolean replaced = state.directory()
+                .find(marked.server())
+                .filter(agent -> !agent.incarnation().equals(marked.incarnation()))
+                .filter(agent -> !agent.state().parts().containsKey(new PartKey(identifier, index)))
+                .isPresent();
+        if (replaced) {
+            part.lose();
+        }
+        return part;
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionWork.java
@@ -0,0 +1,354 @@
+package org.teaselwood.entry.placer;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.teaselwood.entry.core.Requester;
+import org.teaselwood.entry.jobs.Job;
+import org.teaselwood.entry.jobs.JobKeys;
+import org.teaselwood.entry.jobs.JobStore;
+import org.teaselwood.entry.jobs.TransactionBatcher;
+import org.teaselwood.entry.membership.Membership;
+import org.teaselwood.entry.relay.PartKey;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobState;
+import org.teaselwood.model.ServiceState;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.policy.AttemptResult;
+import org.teaselwood.policy.PolicyEvent;
+import org.teaselwood.policy.Scheduler;
+import org.teaselwood.protocol.message.AgentCommand;
+import org.teaselwood.protocol.message.AgentMessage;
+import org.teaselwood.protocol.message.EntryMessage;
+import org.teaselwood.protocol.message.EntryMessage.JobRecord;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.FrontReply.Refused;
+import org.teaselwood.protocol.message.FrontRequest;
+import org.teaselwood.store.KeyValue;
+
+/** What an active placer does with agents, records and requests; connects the parts of the placer with each other. */
+final class RegionWork implements JobStore.Listener {
+    private final PlacerState state;
+    private final Membership membership;
+    private final PolicyDriver policy;
+    private final TransactionBatcher batcher;
+    private final JobLifecycle lifecycle;
+    private final JobStore store;
+    private final Recovery recovery;
+    private final Submissions submissions;
+    private final JobQueries queries;
+    /** Records that were read and not taken in yet. */
+    private final List<KeyValue> records = new ArrayList<>();
+
+    RegionWork(PlacerState state, Membership membership, Scheduler scheduler, TransactionBatcher batcher) {
+        this.state = state;
+        this.membership = membership;
+        this.batcher = batcher;
+        this.policy = new PolicyDriver(state.context(), scheduler);
+        this.lifecycle = new JobLifecycle(state, policy);
+        this.store = new JobStore(state.context(), batcher, this);
+        this.recovery = new Recovery(state, lifecycle, store);
+        this.submissions = new Submissions(state, lifecycle, recovery, store);
+        this.queries = new JobQueries(state, lifecycle, scheduler);
+        lifecycle.storeIn(store);
+    }
+
+    JobStore store() {
+        return store;
+    }
+
+    /** Starts placing with the standby's copy of the table, the records and the agents known so far. */
+    void begin(List<JobRecord> copy) {
+        store.begin(state.term());
+        lifecycle.clear();
+        recovery.clear();
+        policy.feed(new PolicyEvent.ConfigurationChanged(state.context().configuration()));
+        copy.forEach(recovery::mirrored);
+        takeInRecords();
+        state.directory().all().forEach(this::join);
+        recovery.settle();
+    }
+
+    /** Stops placing: the policy forgets what it was told, and callers are sent on. */
+    void end() {
+        policy.mute(true);
+        state.attempts().stream()
+                .filter(attempt -> attempt.policyIdentifier() != null)
+                .forEach(attempt -> {
+                    state.close(attempt);
+                    state.scheduled().remove(attempt.job().identifier());
+                    policy.feed(new PolicyEvent.JobCancelled(attempt.job().identifier()));
+                    policy.feed(new PolicyEvent.AttemptEnded(
+                            attempt.policyIdentifier(), AttemptResult.CANCELLED, List.of()));
+                });
+        List.copyOf(state.scheduled()).forEach(job -> policy.feed(new PolicyEvent.JobCancelled(job)));
+        state.directory().all().stream()
+                .filter(agent -> !agent.lost())
+                .forEach(agent -> policy.feed(new PolicyEvent.ServerLost(agent.name())));
+        policy.mute(false);
+        submissions.end();
+        queries.end();
+        lifecycle.clear();
+        recovery.clear();
+        records.clear();
+    }
+
+    /** Records of all jobs that were accepted. */
+    List<JobRecord> records() {
+        String writer = state.context().settings().incarnation();
+        return state.table().all().stream()
+                .filter(Job::accepted)
+                .map(job -> job.record(state.term(), writer))
+                .toList();
+    }
+
+    void request(Requester requester, FrontRequest request) {
+        switch (request) {
+            case FrontRequest.SubmitJob submit -> submissions.submit(requester, submit);
+            case FrontRequest.QueryJob query -> queries.query(requester, query);
+            case FrontRequest.WaitForJob wait -> queries.waitFor(requester, wait);
+            case FrontRequest.FetchAnswer fetch -> queries.answer(requester, fetch);
+            case FrontRequest.CancelJob cancel -> queries.cancel(requester, cancel);
+            case FrontRequest.ExplainJob explain -> queries.explain(requester, explain);
+            case FrontRequest.QueryRegion ignored ->
+                state.reply(
+                        requester, new FrontReply.RegionReply(RegionReport.of(state, membership, policy.scheduler())));
+            case FrontRequest.QueryConfiguration ignored -> refuseMisdirected(requester);
+            case FrontRequest.ChangeConfiguration ignored -> refuseMisdirected(requester);
+        }
+    }
+
+    void abandon(Requester requester) {
+        state.waiters().remove(requester);
+        submissions.abandon(requester);
+    }
+
+    void fromAgent(String relay, EntryMessage.FromAgent message, boolean active) {
+        if (message.message() instanceof AgentMessage.AgentHello hello) {
+            greeted(relay, hello, false, active);
+            return;
+        }
+        state.directory().source(relay, message.server(), message.incarnation()).ifPresent(agent -> {
+            agent.heard();
+            agent.state().apply(message.message());
+            if (active) {
+                received(agent, message.message());
+            }
+        });
+    }
+
+    void snapshot(String relay, EntryMessage.FromAgent snapshot, boolean active) {
+        if (snapshot.message() instanceof AgentMessage.AgentHello hello) {
+            greeted(relay, hello, true, active);
+        }
+    }
+
+    /** Notes silent agents. Returns whether one of them was not silent before and may be connected elsewhere. */
+    boolean silent(String relay, EntryMessage.SilentAgents message) {
+        return message.agents().stream()
+                        .filter(silent -> state.directory()
+                                .source(relay, silent.server(), silent.incarnation())
+                                .filter(agent -> agent.silentFor(state.now() - silent.silentMilliseconds()))
+                                .isPresent())
+                        .toList()
+                        .size()
+                > 0;
+    }
+
+    /** Agents of a relay that is gone are silent. */
+    void relaysLost(Predicate<String> alive) {
+        state.directory().all().stream()
+                .filter(agent -> !agent.silent() && !alive.test(agent.relay()))
+                .forEach(agent ->
+                        agent.silentFor(state.now() - state.context().timings().suspicionMilliseconds()));
+    }
+
+    void configurationChanged(boolean active) {
+        if (active) {
+            policy.feed(new PolicyEvent.ConfigurationChanged(state.context().configuration()));
+            state.directory().all().forEach(this::join);
+        }
+    }
+
+    void tick() {
+        state.directory().all().forEach(this::checkSilence);
+        recovery.tick();
+        lifecycle.tick();
+        submissions.tick();
+        queries.tick();
+        store.tick();
+        policy.feed(new PolicyEvent.Tick());
+    }
+
+    void pump() {
+        batcher.pump();
+    }
+
+    /** Ends the retention of old jobs. */
+    void trim() {
+        state.table()
+                .trim(
+                        state.context().epoch(),
+                        state.context().timings().retentionMilliseconds(),
+                        state.context().timings().answerMemoryBytes(),
+                        job -> {
+                            store.delete(job);
+                            state.mirror().removed(job);
+                        });
+    }
+
+    void keepRecords(List<KeyValue> values) {
+        records.clear();
+        records.addAll(values);
+    }
+
+    /** Takes in records that came after this entry began to place. */
+    void loadRecords() {
+        takeInRecords();
+        recovery.settle();
+    }
+
+    @Override
+    public void written(Job job, long version) {
+        submissions.written(job);
+        lifecycle.written(job, version);
+        state.waiters()
+                .changed(job, (requester, changed) -> state.reply(requester, new FrontReply.JobReply(changed.view())));
+    }
+
+    @Override
+    public void conflicted(Job job, Optional<KeyValue> current) {
+        if (!job.accepted()) {
+            submissions.claimed(job);
+            return;
+        }
+        if (current.isEmpty()) {
+            job.storeRevision(0);
+            store.save(job, state.table().answer(job.identifier()));
+            return;
+        }
+        JobRecord record = JobKeys.decode(current.get().value(), JobRecord.class);
+        state.context().observeTerm(record.term());
+        if (record.term().compareTo(state.term()) > 0
+                || job.state().isFinal() && record.state().isFinal()) {
+            return;
+        }
+        long revision = current.get().revision();
+        job.storeRevision(revision);
+        if (record.state().isFinal()) {
+            replaceBy(job, () -> recovery.recorded(record, revision));
+        } else if (record.state() == JobState.STARTING
+                && !job.repeatable()
+                && !job.state().isFinal()) {
+            replaceBy(job, () -> recovery.recoverMarked(job, record));
+        } else {
+            store.save(job, state.table().answer(job.identifier()));
+        }
+    }
+
+    @Override
+    public void delayed(Job job) {
+        submissions.delayed(job);
+    }
+
+    /** Takes over a record of another placer, after the release of this placer's attempt. */
+    private void replaceBy(Job job, Runnable replacement) {
+        Optional<Attempt> open = state.attemptOf(job);
+        if (open.isPresent()) {
+            lifecycle.endBefore(open.get(), replacement);
+        } else {
+            lifecycle.drop(job);
+            replacement.run();
+        }
+    }
+
+    private void takeInRecords() {
+        List<KeyValue> values = List.copyOf(records);
+        records.clear();
+        values.forEach(value -> {
+            try {
+                recovery.recorded(JobKeys.decode(value.value(), JobRecord.class), value.revision());
+            } catch (TeaselwoodException exception) {
+                state.context().effects().logged("record " + value.key() + ": " + exception.getMessage(), "", "");
+            }
+        });
+    }
+
+    private void greeted(String relay, AgentMessage.AgentHello hello, boolean snapshot, boolean active) {
+        state.context().observeTerm(hello.term());
+        Optional<KnownAgent> known = state.directory().greeted(relay, hello, snapshot);
+        if (known.isEmpty() || !active) {
+            return;
+        }
+        KnownAgent agent = known.get();
+        Set<PartKey> listed = new HashSet<>(agent.state().parts().keySet());
+        join(agent);
+        hello.parts()
+                .forEach(part ->
+                        lifecycle.protocol().report(agent, new AgentMessage.PartReply("", part.report(), "", "")));
+        lifecycle.protocol().lostParts(agent, listed);
+        recovery.sighted();
+    }
+
+    private void received(KnownAgent agent, AgentMessage message) {
+        switch (message) {
+            case AgentMessage.PartChanged changed ->
+                reported(agent, new AgentMessage.PartReply("", changed.report(), "", ""));
+            case AgentMessage.PartReply reply -> reported(agent, reply);
+            case AgentMessage.AnswerPart answer -> lifecycle.protocol().answered(agent, answer);
+            case AgentMessage.PartUsage usage -> lifecycle.used(agent, usage);
+            case AgentMessage.AgentLeaving ignored -> join(agent);
+            case AgentMessage.AgentHello ignored -> {}
+            case AgentMessage.AgentHeartbeat ignored -> {}
+            case AgentMessage.StaleTerm ignored -> {}
+        }
+    }
+
+    private void reported(KnownAgent agent, AgentMessage.PartReply reply) {
+        if (state.attempt(reply.report().attempt()).isPresent()) {
+            lifecycle.protocol().report(agent, reply);
+        } else if (agent.state()
+                .parts()
+                .containsKey(
+                        new PartKey(reply.report().attempt(), reply.report().part()))) {
+            recovery.sighted();
+        }
+    }
+
+    /** Tells the policy whether it may use a backend server, and the agent the term. */
+    private void join(KnownAgent agent) {
+        boolean usable = !agent.lost()
+                && !agent.silent()
+                && !agent.state().leaving()
+                && state.context().configuration().stateOf(agent.name()) == ServiceState.IN_SERVICE;
+        state.command(agent.name(), new AgentCommand.RenewGang(state.term(), List.of()));
+        agent.joined(usable);
+        PolicyEvent joined = new PolicyEvent.ServerJoined(agent.server());
+        if (usable) {
+            policy.feed(joined);
+        } else if (!agent.lost()) {
+            policy.feed(joined, new PolicyEvent.ServerUnavailable(agent.name()));
+        }
+    }
+
+    private void checkSilence(KnownAgent agent) {
+        long silence = agent.silence(state.now());
+        if (silence >= state.context().timings().agentLostMilliseconds() && !agent.lost()) {
+            agent.lose();
+            policy.feed(new PolicyEvent.ServerLost(agent.name()));
+            lifecycle.protocol().lost(agent.name());
+        } else if (agent.silent() && agent.joined()) {
+            agent.suspect();
+            policy.feed(new PolicyEvent.ServerUnavailable(agent.name()));
+        } else if (!agent.silent() && agent.suspected()) {
+            join(agent);
+        }
+    }
+
+    private void refuseMisdirected(Requester requester) {
+        state.reply(requester, Refused.of(ErrorKind.BAD_REQUEST, "an entry answers this itself"));
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Submissions.java
@@ -0,0 +1,281 @@
+package org.teaselwood.entry.placer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.teaselwood.entry.core.Outbox;
+import org.teaselwood.entry.core.Requester;
+import org.teaselwood.entry.core.StoreCall;
+import org.teaselwood.entry.core.StoreReply;
+import org.teaselwood.entry.jobs.Job;
+import org.teaselwood.entry.jobs.JobKeys;
+import org.teaselwood.entry.jobs.JobStore;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.model.JobSubmission;
+import org.teaselwood.model.Outcome;
+import org.teaselwood.model.Team;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.model.Template;
+import org.teaselwood.protocol.message.EntryMessage.JobRecord;
+import org.teaselwood.protocol.message.EntryMessage.KeyClaim;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.FrontReply.Refused;
+import org.teaselwood.protocol.message.FrontRequest.SubmitJob;
+import org.teaselwood.store.KeyValue;
+
+/**
+ * Accepts jobs. A job is accepted when its record is in the key-value service; a repeatable one also when the standby
+ * has it while that service does not answer. A request key belongs to the first submission that used it: those in the
+ * table are known here, and one of a job that is not repeatable is claimed in the key-value service.
+ */
+final class Submissions {
+    private static final int MAXIMUM_PARAMETER_BYTES = 48 * 1024;
+    /** A repeatable job is accepted in memory when the key-value service does not answer for this time. */
+    private static final long SLOW_STORE_MILLISECONDS = 1_000;
+
+    private static final long REFUSAL_MILLISECONDS = 5_000;
+
+    private final PlacerState state;
+    private final JobLifecycle lifecycle;
+    private final Recovery recovery;
+    private final JobStore store;
+    private final Map<JobIdentifier, Pending> pending = new TreeMap<>();
+    private long counter;
+
+    /** A job whose acceptance is under way, with its callers. */
+    private static final class Pending {
+        private final Job job;
+        private final long since;
+        private final List<Requester> requesters = new ArrayList<>();
+        private boolean mirrored;
+
+        Pending(Job job, long since) {
+            this.job = job;
+            this.since = since;
+        }
+    }
+
+    Submissions(PlacerState state, JobLifecycle lifecycle, Recovery recovery, JobStore store) {
+        this.state = state;
+        this.lifecycle = lifecycle;
+        this.recovery = recovery;
+        this.store = store;
+    }
+
+    /** Sends all callers on to the next placer. */
+    void end() {
+        List<Pending> open = List.copyOf(pending.values());
+        pending.clear();
+        open.forEach(waiting -> refuse(waiting.requesters, Refused.of(ErrorKind.NO_PLACER)));
+    }
+
+    void submit(Requester requester, SubmitJob request) {
+        JobSubmission submission = request.submission();
+        try {
+            Template template = validated(request);
+            Optional<Job> earlier = state.table().findByKey(submission);
+            if (earlier.isPresent()) {
+                meet(requester, submission, earlier.get());
+                return;
+            }
+            admit(submission);
+            create(requester, submission, template);
+        } catch (TeaselwoodException exception) {
+            state.reply(requester, Refused.of(exception));
+        }
+    }
+
+    /** The caller of a submission has gone. */
+    void abandon(Requester requester) {
+        pending.values().forEach(waiting -> waiting.requesters.remove(requester));
+    }
+
+    /** A record was written. */
+    void written(Job job) {
+        if (!job.accepted()) {
+            accept(job);
+        }
+    }
+
+    /** The key-value service did not answer the write of a record. */
+    void delayed(Job job) {
+        Pending waiting = pending.get(job.identifier());
+        if (waiting != null && job.repeatable()) {
+            acceptInMemory(waiting);
+        }
+    }
+
+    /** The request key of a job that was not accepted yet is claimed by another job. */
+    void claimed(Job job) {
+        Pending waiting = pending.remove(job.identifier());
+        state.table().remove(job);
+        List<Requester> requesters = waiting == null ? List.of() : waiting.requesters;
+        state.ask(requesters, new StoreCall.Get(JobKeys.claim(job.submission())), reply -> {
+            Optional<KeyValue> claim = reply instanceof StoreReply.Value value ? value.value() : Optional.empty();
+            if (claim.isEmpty()) {
+                refuse(requesters, storeRefusal(job.submission()));
+                return;
+            }
+            KeyClaim holder = JobKeys.decode(claim.get().value(), KeyClaim.class);
+            if (holder.region().equals(state.context().settings().region())) {
+                meetRecorded(requesters, job.submission(), holder);
+            } else {
+                refuse(requesters, Refused.of(ErrorKind.OTHER_REGION, holder.region()));
+            }
+        });
+    }
+
+    /** Accepts repeatable jobs in memory, and answers callers, when the key-value service takes too long. */
+    void tick() {
+        List.copyOf(pending.values()).forEach(waiting -> {
+            long age = state.now() - waiting.since;
+            if (waiting.job.repeatable() && age >= SLOW_STORE_MILLISECONDS) {
+                acceptInMemory(waiting);
+            }
+            if (age >= REFUSAL_MILLISECONDS && !waiting.requesters.isEmpty()) {
+                String detail = "whether the job was accepted is not known; repeat with the same request key";
+                ErrorKind kind = ErrorKind.STORE_UNAVAILABLE;
+                refuse(waiting.requesters, new Refused(kind, kind.message(detail), Outcome.UNKNOWN));
+                waiting.requesters.clear();
+            }
+        });
+    }
+
+    private Template validated(SubmitJob request) {
+        JobSubmission submission = request.submission();
+        if (!request.principal().mayActFor(submission.team())) {
+            throw TeaselwoodException.of(ErrorKind.FORBIDDEN, "submitting for team " + submission.team());
+        }
+        if (!state.context().configuration().teams().containsKey(submission.team())) {
+            throw TeaselwoodException.of(ErrorKind.UNKNOWN_TEAM, submission.team());
+        }
+        Template template = state.context().configuration().templates().get(submission.template());
+        if (template == null) {
+            throw TeaselwoodException.of(ErrorKind.UNKNOWN_TEMPLATE, submission.template());
+        }
+        if (Outbox.textBytes(submission.parameters()) > MAXIMUM_PARAMETER_BYTES) {
+            throw TeaselwoodException.of(ErrorKind.BODY_TOO_LARGE, MAXIMUM_PARAMETER_BYTES);
+        }
+        template.resolveParameters(submission.parameters());
+        return template;
+    }
+
+    private void admit(JobSubmission submission) {
+        if (state.table().unfinishedCount() >= state.context().timings().maximumJobs()) {
+            throw TeaselwoodException.of(ErrorKind.OVERLOADED, "the job table is full");
+        }
+        Team team = state.context().configuration().teams().get(submission.team());
+        boolean full = state.table().unfinishedOf(team.name()) >= team.queueLimit()
+                && state.table().waitingOf(team.name()) >= team.queueLimit();
+        if (full) {
+            throw TeaselwoodException.of(ErrorKind.QUEUE_FULL, team.name(), team.queueLimit());
+        }
+    }
+
+    private void create(Requester requester, JobSubmission submission, Template template) {
+        if (!submission.repeatable() && !state.context().store().reachable()) {
+            state.reply(requester, storeRefusal(submission));
+            return;
+        }
+        String region = state.context().settings().region();
+        JobIdentifier identifier = new JobIdentifier(region
+                + '-'
+                + state.context().self()
+                + '-'
+                + state.context().settings().incarnation()
+                + '-'
+                + ++counter);
+        Job job = new Job(
+                identifier, region, submission, template, state.context().epoch());
+        state.table().add(job);
+        if (!job.recorded()) {
+            job.accept();
+            state.changed(job);
+            state.reply(requester, new FrontReply.JobReply(job.view()));
+            lifecycle.schedule(job);
+            return;
+        }
+        Pending waiting = new Pending(job, state.now());
+        waiting.requesters.add(requester);
+        pending.put(identifier, waiting);
+        state.changed(job);
+        store.save(job, Optional.empty());
+        if (!state.context().store().reachable()) {
+            acceptInMemory(waiting);
+        }
+    }
+
+    private void acceptInMemory(Pending waiting) {
+        if (!waiting.mirrored) {
+            waiting.mirrored = true;
+            state.mirror().whenMirrored(waiting.job, () -> {
+                if (!waiting.job.accepted() && pending.containsKey(waiting.job.identifier())) {
+                    accept(waiting.job);
+                }
+            });
+        }
+    }
+
+    private void accept(Job job) {
+        job.accept();
+        state.changed(job);
+        Pending waiting = pending.remove(job.identifier());
+        if (waiting != null) {
+            waiting.requesters.forEach(requester -> state.reply(requester, new FrontReply.JobReply(job.view())));
+        }
+        lifecycle.schedule(job);
+    }
+
+    private void meet(Requester requester, JobSubmission submission, Job job) {
+        if (!job.matches(submission)) {
+            state.reply(requester, Refused.of(ErrorKind.KEY_CONFLICT, submission.requestKey()));
+            return;
+        }
+        Pending waiting = pending.get(job.identifier());
+        if (waiting == null) {
+            state.reply(requester, new FrontReply.JobReply(job.view()));
+        } else if (!waiting.requesters.contains(requester)) {
+            waiting.requesters.add(requester);
+        }
+    }
+
+    private void meetRecorded(List<Requester> requesters, JobSubmission submission, KeyClaim holder) {
+        Optional<Job> known = state.table().find(holder.job());
+        if (known.isPresent()) {
+            requesters.forEach(requester -> meet(requester, submission, known.get()));
+            return;
+        }
+        String key = JobKeys.record(holder.region(), holder.job());
+        state.ask(requesters, new StoreCall.Get(key), reply -> {
+            if (!(reply instanceof StoreReply.Value value)) {
+                refuse(requesters, storeRefusal(submission));
+            } else if (value.value().isEmpty()) {
+                refuse(requesters, Refused.of(ErrorKind.UNKNOWN_JOB, holder.job()));
+            } else {
+                KeyValue found = value.value().get();
+                recovery.recorded(JobKeys.decode(found.value(), JobRecord.class), found.revision());
+                recovery.settle();
+                Job job = state.table().find(holder.job()).orElseThrow();
+                requesters.forEach(requester -> meet(requester, submission, job));
+            }
+        });
+    }
+
+    /** Without a key from the caller nothing can have run under it; otherwise an earlier submission may have run. */
+    private static Refused storeRefusal(JobSubmission submission) {
+        ErrorKind kind = ErrorKind.STORE_UNAVAILABLE;
+        return submission.callerGaveKey()
+                ? new Refused(
+                        kind,
+                        kind.message("an earlier submission may have run; repeat with the same request key"),
+                        Outcome.UNKNOWN)
+                : new Refused(kind, kind.message("a job that is not repeatable needs it"), Outcome.NOT_RUN);
+    }
+
+    private void refuse(List<Requester> requesters, Refused refusal) {
+        List.copyOf(requesters).forEach(requester -> state.reply(requester, refusal));
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/relay/AgentState.java
@@ -0,0 +1,125 @@
+package org.teaselwood.entry.relay;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.teaselwood.model.AttemptIdentifier;
+import org.teaselwood.model.BackendServer;
+import org.teaselwood.model.PartPhase;
+import org.teaselwood.model.PartReport;
+import org.teaselwood.model.Term;
+import org.teaselwood.protocol.message.AgentMessage;
+import org.teaselwood.protocol.message.AgentMessage.AgentHello;
+import org.teaselwood.protocol.message.AgentMessage.HeldPart;
+import org.teaselwood.protocol.message.TaskSpecification;
+
+/**
+ * What an agent last reported: its hello with all later changes. Released parts are left out; a fence is asked for
+ * again where it matters.
+ */
+public final class AgentState {
+    private final BackendServer server;
+    private final String incarnation;
+    private final Map<PartKey, HeldPart> parts = new TreeMap<>();
+    /** Specifications of holds that were sent and not answered. */
+    private final Map<PartKey, TaskSpecification> sent = new TreeMap<>();
+
+    private Term term;
+    private long revision;
+    private boolean leaving;
+
+    /** State of an agent from its hello. */
+    public AgentState(AgentHello hello) {
+        server = hello.server();
+        incarnation = hello.incarnation();
+        term = hello.term();
+        revision = hello.configurationRevision();
+        leaving = hello.leaving();
+        hello.parts().stream()
+                .filter(part -> part.report().phase() != PartPhase.RELEASED)
+                .forEach(part -> parts.put(keyOf(part.report()), part));
+    }
+
+    /** Notes a message of the agent. */
+    public void apply(AgentMessage message) {
+        switch (message) {
+            case AgentMessage.PartChanged changed -> report(changed.report());
+            case AgentMessage.PartReply reply -> report(reply.report());
+            case AgentMessage.StaleTerm stale -> observeTerm(stale.highest());
+            case AgentMessage.AgentLeaving ignored -> leaving = true;
+            case AgentMessage.AgentHello ignored -> {}
+            case AgentMessage.AgentHeartbeat ignored -> {}
+            case AgentMessage.PartUsage ignored -> {}
+            case AgentMessage.AnswerPart ignored -> {}
+        }
+    }
+
+    /** Notes the specification that a hold carries. */
+    public void holdSent(PartKey part, TaskSpecification specification) {
+        sent.put(part, specification);
+    }
+
+    /** The agent was told to forget an attempt. */
+    public void forget(AttemptIdentifier attempt) {
+        parts.keySet().removeIf(part -> part.attempt().equals(attempt));
+        sent.keySet().removeIf(part -> part.attempt().equals(attempt));
+    }
+
+    /** Notes a term that the agent has seen. */
+    public void observeTerm(Term seen) {
+        if (seen.compareTo(term) > 0) {
+            term = seen;
+        }
+    }
+
+    /** Notes a configuration revision that the agent was told. */
+    public void observeRevision(long told) {
+        revision = Math.max(revision, told);
+    }
+
+    /** The whole state as the hello that the agent would send now. */
+    public AgentHello hello() {
+        return new AgentHello(server, incarnation, term, revision, leaving, List.copyOf(parts.values()));
+    }
+
+    /** Description of the backend server. */
+    public BackendServer server() {
+        return server;
+    }
+
+    /** Incarnation of the agent. */
+    public String incarnation() {
+        return incarnation;
+    }
+
+    /** Highest term the agent has seen. */
+    public Term term() {
+        return term;
+    }
+
+    /** Whether the agent takes no new work. */
+    public boolean leaving() {
+        return leaving;
+    }
+
+    /** Parts that it holds or remembers, in order. */
+    public Map<PartKey, HeldPart> parts() {
+        return parts;
+    }
+
+    private void report(PartReport report) {
+        PartKey key = keyOf(report);
+        TaskSpecification first = sent.remove(key);
+        HeldPart known = parts.get(key);
+        TaskSpecification specification = known == null ? first : known.specification();
+        if (report.phase() == PartPhase.RELEASED) {
+            parts.remove(key);
+        } else if (specification != null) {
+            parts.put(key, new HeldPart(report, specification));
+        }
+    }
+
+    private static PartKey keyOf(PartReport report) {
+        return new PartKey(report.attempt(), report.part());
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/EntryCoreTest.java
@@ -0,0 +1,63 @@
+package org.teaselwood.entry.core;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.entry.relay.PartKey;
+import org.teaselwood.model.JobState;
+import org.teaselwood.protocol.message.AgentCommand;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.FrontRequest;
+import org.teaselwood.protocol.message.JobView;
+
+/** Tests of one entry without failures. */
+class EntryCoreTest {
+    private final VirtualRegion region = new VirtualRegion(1, 2);
+    private final VirtualRegion.Node entry = region.nodes.get("e1");
+
+    static JobView viewOf(FrontReply reply) {
+        assertThat(reply).isInstanceOf(FrontReply.JobReply.class);
+        return ((FrontReply.JobReply) reply).job();
+    }
+
+    /** Guards against a job with one part that is committed, started twice, or whose answer is not whole. */
+    @Test
+    void a_job_with_one_part_is_held_started_and_answered() {
+        JobView job = viewOf(region.ask(entry, VirtualRegion.submit("k1", "plan", true)));
+        assertThat(job.durable()).isTrue();
+        region.run(500);
+        FakeAgent agent = region.agents.get("w1");
+        agent.succeed(agent.running().getFirst(), "plan A");
+        FrontReply reply =
+                region.ask(entry, new FrontRequest.WaitForJob(VirtualRegion.TEAM, job.job(), -1, true, 5_000));
+        assertThat(viewOf(reply).state()).isEqualTo(JobState.SUCCEEDED);
+        FrontReply answer = region.ask(entry, new FrontRequest.FetchAnswer(VirtualRegion.TEAM, job.job()));
+        byte[] content = ((FrontReply.AnswerReply) answer).content();
+        assertThat(new String(content, StandardCharsets.UTF_8)).isEqualTo("plan A");
+        assertThat(agent.received.stream()
+                        .filter(AgentCommand.Commit.class::isInstance)
+                        .toList())
+                .isEmpty();
+        region.run(500);
+        assertThat(agent.parts).isEmpty();
+    }
+
+    /** Guards against a gang that starts in part, and against answers joined in the order of their arrival. */
+    @Test
+    void a_gang_is_held_committed_and_started_and_its_answers_are_joined_in_part_order() {
+        JobView job = viewOf(region.ask(entry, VirtualRegion.submit("k1", "gang", false)));
+        region.run(500);
+        List<FakeAgent> agents = List.copyOf(region.agents.values());
+        agents.reversed().forEach(agent -> {
+            PartKey part = agent.running().getFirst();
+            agent.succeed(part, "<" + part.part() + ">");
+            region.run(100);
+        });
+        FrontReply answer = region.ask(entry, new FrontRequest.FetchAnswer(VirtualRegion.TEAM, job.job()));
+        byte[] content = ((FrontReply.AnswerReply) answer).content();
+        assertThat(new String(content, StandardCharsets.UTF_8)).isEqualTo("<0><1>");
+        assertThat(region.store.keysOf("/keys/winding/k1")).hasSize(1);
+    }
+}
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/EntryMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/EntryMessage.java
@@ -56,8 +56,11 @@
     /** A new placer asks a relay for the state of its agents and to forward their messages from now on. */
     record SnapshotRequest(Term term) implements EntryMessage {}
 
+    /** Reply to SnapshotRequest: an AgentHello of every agent that is connected to the relay. */
+    record AgentSnapshots(String relay, List<FromAgent> agents) implements EntryMessage {}
+
     /**
-     * Follows the snapshots, which are sent as AgentHello messages in FromAgents.
+     * Follows the snapshots.
      *
      * @param term term of the request
      * @param highest highest term seen by the relay or its agents; above the request's term the request was refused
@@ -70,9 +73,6 @@
     /** Agents that are silent, sent by their relay to the placer every second. */
     record SilentAgents(List<SilentAgent> agents) implements EntryMessage {}
 
-    /** The placer lacks the answers of an agent; its relay makes the agent send them again. */
-    record AnswersMissing(String server) implements EntryMessage {}
-
     /** An agent that a starting mark lists. */
     record MarkedAgent(int part, String server, String incarnation) {}
 
