Read the agent's settings with the settings package and drop code from the resident set

Cause: the agent used 79.1 MB resident at rest, beyond 64 MB.

Change: settings come from teaselwood-settings. Logback is configured by a class in place of an XML file, and the DNS resolver, Netty's flight recorder events and direct buffers are switched off.

Conclusion: flags and a class-data archive must bring the rest.

--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/AgentProcess.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/AgentProcess.java
@@ -1,10 +1,13 @@
 package org.teaselwood.agent;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.PemTrustOptions;
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.agent.core.AgentCore;
@@ -17,6 +20,7 @@
 import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
 import org.teaselwood.protocol.message.AgentMessage;
 import org.teaselwood.protocol.worker.WorkerCall;
+import org.teaselwood.settings.AgentSettings;
 
 /** Runs an agent core on its duty thread, with the connection to an entry and the worker's HTTP interface around it. */
 public final class AgentProcess implements AutoCloseable {
@@ -34,10 +38,16 @@
         EntryDirectory directory = new EntryDirectory(
                 settings.server().name(),
                 settings.server().dataCentre(),
-                settings.entries(),
+                settings.entries().stream()
+                        .map(address -> new EntryAddress("", "", address.host(), address.port()))
+                        .toList(),
                 bound -> ThreadLocalRandom.current().nextLong(bound));
-        this.connector = new EntryConnector(vertx, new SharedKey(settings.sharedKey()), directory, this::offer);
-        this.worker = new WorkerClient(vertx, settings.workerHost(), settings.workerPort());
+        SharedKey key = settings.sharedKey()
+                .map(secret -> new SharedKey(secret.value()))
+                .orElseGet(SharedKey::withoutSecret);
+        this.connector = new EntryConnector(vertx, clientOptions(settings), key, directory, this::offer);
+        this.worker = new WorkerClient(
+                vertx, settings.worker().host(), settings.worker().port());
         AgentCore core = new AgentCore(settings.server(), UUID.randomUUID().toString(), new Effects());
         this.duty = new DutyThread<>(
                 "agent", RING_CAPACITY, TICK_MILLISECONDS, MonotonicClock.system(), new DutyThread.Handler<>() {
@@ -63,9 +73,9 @@
         }
     }
 
-    /** Waits until a leaving agent has nothing left. */
-    public void awaitDrained() throws InterruptedException {
-        drained.await();
+    /** Waits until a leaving agent has nothing left; false if the time has passed before. */
+    public boolean awaitDrained(long timeoutMilliseconds) throws InterruptedException {
+        return drained.await(timeoutMilliseconds, TimeUnit.MILLISECONDS);
     }
 
     /** Stops at once, for tests; tasks lapse at the worker. */
@@ -74,6 +84,15 @@
         duty.close();
     }
 
+    private static NetClientOptions clientOptions(AgentSettings settings) {
+        NetClientOptions options = new NetClientOptions().setTcpNoDelay(true);
+        settings.tlsAuthorities()
+                .ifPresent(file -> options.setSsl(true)
+                        .setHostnameVerificationAlgorithm("HTTPS")
+                        .setTrustOptions(new PemTrustOptions().addCertPath(file.toString())));
+        return options;
+    }
+
     private boolean offer(AgentEvent event) {
         return duty.offer(event);
     }
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/EntryConnector.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/EntryConnector.java
@@ -48,11 +48,10 @@
         boolean offer(AgentEvent event);
     }
 
-    EntryConnector(Vertx vertx, SharedKey key, EntryDirectory directory, EventSink sink) {
+    EntryConnector(Vertx vertx, NetClientOptions options, SharedKey key, EntryDirectory directory, EventSink sink) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
-        this.client = vertx.createNetClient(
-                new NetClientOptions().setConnectTimeout(CONNECT_MILLISECONDS).setTcpNoDelay(true));
+        this.client = vertx.createNetClient(options.setConnectTimeout(CONNECT_MILLISECONDS));
         this.key = key;
         this.directory = directory;
         this.sink = sink;
--- /dev/null
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/JsonLogConfigurator.java
@@ -0,0 +1,40 @@
+package org.teaselwood.agent;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.spi.ContextAwareBase;
+
+/**
+ * Configures Logback: one JSON object a line on standard error. Logback finds it as a service.
+ *
+ * <p>An XML file would say the same, but its parser costs several megabytes of the agent's resident set.
+ */
+public final class JsonLogConfigurator extends ContextAwareBase implements Configurator {
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        JsonEncoder encoder = new JsonEncoder();
+        encoder.setContext(context);
+        encoder.setWithContext(false);
+        encoder.setWithSequenceNumber(false);
+        encoder.setWithNanoseconds(false);
+        encoder.setWithArguments(false);
+        encoder.setWithMessage(false);
+        encoder.setWithFormattedMessage(true);
+        encoder.start();
+        ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+        appender.setContext(context);
+        appender.setName("json");
+        appender.setTarget("System.err");
+        appender.setEncoder(encoder);
+        appender.start();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.INFO);
+        root.addAppender(appender);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+}
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/Main.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/Main.java
@@ -7,13 +7,19 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import java.nio.file.Path;
+import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.settings.AgentSettings;
 
 /** Starts the agent process. */
 public final class Main {
     private static final int EXIT_USAGE = 64;
     private static final int EXIT_SETTINGS = 78;
+
+    /** Work was left when drain-timeout ended. */
+    private static final int EXIT_UNFINISHED = 75;
+
     private static final long BLOCKED_THREAD_CHECK_MILLISECONDS = 60_000;
 
     @Parameter(names = "--settings", description = "INI file with the settings of the agent")
@@ -29,6 +35,7 @@
 
     /** Exits with 0, with 64 for wrong usage, or with 78 for wrong settings. */
     public static void main(String[] arguments) {
+        limitMemory();
         int status = new Main().run(arguments);
         if (status >= 0) {
             System.exit(status);
@@ -60,7 +67,7 @@
             return EXIT_USAGE;
         }
         try {
-            start(AgentSettingsReader.read(Path.of(settings)));
+            start(AgentSettings.read(Path.of(settings)));
             return -1;
         } catch (TeaselwoodException exception) {
             System.err.println("teaselwood-agent: " + exception.getMessage());
@@ -70,21 +77,37 @@
 
     private static void start(AgentSettings agentSettings) {
         AgentProcess process = new AgentProcess(newVertx(), agentSettings);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(process), "leave"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> finish(process, agentSettings.drainTimeoutMilliseconds()), "leave"));
     }
 
     /** On SIGTERM: leaves, waits until nothing is left, and exits with 0 where the JVM would exit with 143. */
-    private static void finish(AgentProcess process) {
+    private static void finish(AgentProcess process, long timeoutMilliseconds) {
+        Logger logger = LoggerFactory.getLogger(Main.class);
         try {
             process.leave();
-            process.awaitDrained();
-            LoggerFactory.getLogger(Main.class).info("nothing is left; exiting");
-            Runtime.getRuntime().halt(0);
+            if (process.awaitDrained(timeoutMilliseconds)) {
+                logger.info("nothing is left; exiting");
+                Runtime.getRuntime().halt(0);
+            }
+            logger.error("work is left after drain-timeout; exiting");
+            Runtime.getRuntime().halt(EXIT_UNFINISHED);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /**
+     * Settings of Netty and Vert.x that keep code and buffers out of the resident set. They are read when the classes
+     * are loaded, so they are set first. Addresses are IP numbers, so that no DNS resolver is needed.
+     */
+    private static void limitMemory() {
+        System.setProperty("io.netty.allocator.type", "unpooled");
+        System.setProperty("io.netty.noPreferDirect", "true");
+        System.setProperty("io.netty.jfr.enabled", "false");
+        System.setProperty("vertx.disableDnsResolver", "true");
+    }
+
     /** One event loop, no caches of files: the resident set of the agent is limited to 64 MB. */
     private static Vertx newVertx() {
         return Vertx.vertx(new VertxOptions()
--- a/teaselwood-agent/src/test/java/org/teaselwood/agent/AgentProcessTest.java
+++ b/teaselwood-agent/src/test/java/org/teaselwood/agent/AgentProcessTest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -21,12 +22,16 @@
 import org.teaselwood.protocol.message.AgentMessage;
 import org.teaselwood.protocol.message.TaskSpecification;
 import org.teaselwood.protocol.worker.TaskIdentifier;
+import org.teaselwood.settings.AgentSettings;
+import org.teaselwood.settings.NetworkAddress;
+import org.teaselwood.settings.Secret;
 import org.teaselwood.standins.worker.BuiltInCommand;
 import org.teaselwood.standins.worker.WorkerStandIn;
 
 /** Runs the agent between a fake entry and the worker stand-in over loopback. */
 class AgentProcessTest {
-    private static final String KEY = "test-key";
+    private static final String KEY = "key-of-16-letters";
+    private static final long TIMEOUT_MILLISECONDS = 10_000;
     private static final Term TERM = new Term(1, "e1");
     private static final AttemptIdentifier ATTEMPT = new AttemptIdentifier(new JobIdentifier("job-1"), 1);
     private static final TaskSpecification SPECIFICATION = new TaskSpecification(
@@ -59,7 +64,14 @@
         entry = new FakeEntry(vertx, "e1", new SharedKey(KEY), 0);
         BackendServer server = new BackendServer("w1", "r", "d", "k", Set.of(), 8, 32, 1000, 8, 64, 1.0);
         agent = new AgentProcess(
-                vertx, new AgentSettings(server, List.of(entry.address()), KEY, "127.0.0.1", worker.port()));
+                vertx,
+                new AgentSettings(
+                        server,
+                        List.of(new NetworkAddress("127.0.0.1", entry.port())),
+                        new NetworkAddress("127.0.0.1", worker.port()),
+                        Optional.of(new Secret(KEY)),
+                        Optional.empty(),
+                        0));
     }
 
     @AfterEach
@@ -82,7 +94,7 @@
         agent.leave();
         entry.await(AgentMessage.AgentLeaving.class, leaving -> true);
         entry.send(new AgentCommand.ForgetAttempt(TERM, ATTEMPT));
-        agent.awaitDrained();
+        assertThat(agent.awaitDrained(TIMEOUT_MILLISECONDS)).isTrue();
         assertThat(worker.runs()).containsExactly(new TaskIdentifier(ATTEMPT, 0));
     }
 
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/SharedKey.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/SharedKey.java
@@ -22,6 +22,11 @@
         this.key = new SecretKeySpec(text.getBytes(StandardCharsets.UTF_8), ALGORITHM);
     }
 
+    /** The key of a deployment without a secret, whose settings allow only loopback addresses. */
+    public static SharedKey withoutSecret() {
+        return new SharedKey("loopback-only");
+    }
+
     /** Fresh random bytes for a challenge. */
     public static byte[] newNonce() {
         byte[] nonce = new byte[NONCE_BYTES];
