Add declarations, configuration documents and both deployments

Cause: operators keep templates, teams and service states in version control, and entries share them through the key-value service.

--- a/teaselwood-settings/src/main/java/org/teaselwood/settings/IniDocument.java
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/IniDocument.java
@@ -92,9 +92,21 @@
         for (ImmutableNode node : configuration.getNodeModel().getNodeHandler().getRootNode()) {
             sections.add(sectionOf(node, lines));
         }
+        requireLines(sections, faults);
+        faults.throwIfAny(kind);
         return new IniDocument(file, sections);
     }
 
+    /** The library splits a line with a quoted part at the wrong separator in some cases; its key is then unknown. */
+    private static void requireLines(List<Section> sections, Faults faults) {
+        for (Section section : sections) {
+            section.entries().stream().filter(entry -> entry.line() == 0).forEach(entry -> {
+                String problem = "the line with '" + entry.key() + "' is ambiguous; put its whole value in quotes";
+                faults.add(section.name(), "", section.line(), problem);
+            });
+        }
+    }
+
     private static Section sectionOf(ImmutableNode node, LineIndex lines) {
         List<Entry> entries = new ArrayList<>();
         for (ImmutableNode child : node) {
--- a/teaselwood-settings/src/main/java/org/teaselwood/settings/ValueTypes.java
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/ValueTypes.java
@@ -43,6 +43,11 @@
         return NAME.matcher(text).matches();
     }
 
+    /** Whether a text can be written on one line of an INI file and read back as the same text. */
+    public static boolean isWritable(String text) {
+        return !text.contains("\\\"") && !text.endsWith("\\") && text.chars().noneMatch(Character::isISOControl);
+    }
+
     /** A token or key; never shown in messages or logs. */
     public static ValueType<Secret> secret() {
         return text -> {
--- /dev/null
+++ b/teaselwood-standins/src/test/java/org/teaselwood/standins/keyvalue/InMemoryKeyValueTest.java
@@ -0,0 +1,73 @@
+package org.teaselwood.standins.keyvalue;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.store.KeyValueCondition;
+import org.teaselwood.store.KeyValueOperation;
+import org.teaselwood.store.KeyValueTransaction;
+
+/** Tests of the key-value service in virtual time. */
+class InMemoryKeyValueTest {
+    private static final byte[] VALUE = "v".getBytes(StandardCharsets.UTF_8);
+
+    private final InMemoryKeyValue service = new InMemoryKeyValue();
+
+    /** Guards against a lease that lapses while it is renewed, or never. */
+    @Test
+    void a_lease_lasts_until_its_time_after_the_last_renewal() {
+        long lease = service.grantLease(10, 0);
+        service.transact(write("/e/1", 0, lease), 0);
+        service.renewLease(lease, 9_999);
+        assertThat(service.get("/e/1", 19_998)).isPresent();
+        assertThat(service.get("/e/1", 19_999)).isEmpty();
+        assertThrows(TeaselwoodException.class, () -> service.renewLease(lease, 20_000));
+    }
+
+    /** Guards against a watch that misses the deletion by a lease, or sees keys outside its prefix. */
+    @Test
+    void a_watch_is_told_of_writes_and_of_lapsed_leases() {
+        List<String> told = new ArrayList<>();
+        Runnable end = service.watch(
+                "/e/",
+                (changes, revision) -> changes.forEach(
+                        change -> told.add(change.key() + ":" + change.value().length + "@" + revision)));
+        long lease = service.grantLease(1, 0);
+        service.transact(write("/e/1", 0, lease), 0);
+        service.transact(write("/f", 0, 0), 0);
+        service.advanceTo(1_000);
+        end.run();
+        service.transact(write("/e/2", 0, 0), 1_000);
+        assertThat(told).containsExactly("/e/1:1@2", "/e/1:0@4").inOrder();
+    }
+
+    /** Guards against a lost reply whose write did not take effect, which would hide the case that it stands for. */
+    @Test
+    void a_write_with_a_lost_reply_takes_effect_and_one_to_a_dead_service_does_not() {
+        service.setFaults(KeyValueFaults.DOWN);
+        assertUnavailable(write("/a", 0, 0));
+        service.setFaults(KeyValueFaults.REPLY_LOST);
+        assertUnavailable(write("/b", 0, 0));
+        service.setFaults(KeyValueFaults.NONE);
+        assertThat(service.get("/a", 0)).isEmpty();
+        assertThat(service.get("/b", 0)).isPresent();
+        assertThat(service.transact(write("/b", 0, 0), 0).applied()).isFalse();
+    }
+
+    private void assertUnavailable(KeyValueTransaction transaction) {
+        TeaselwoodException exception = assertThrows(TeaselwoodException.class, () -> service.transact(transaction, 0));
+        assertThat(exception.kind()).isEqualTo(ErrorKind.STORE_UNAVAILABLE);
+    }
+
+    private static KeyValueTransaction write(String key, long expectedRevision, long lease) {
+        return new KeyValueTransaction(
+                List.of(new KeyValueCondition(key, expectedRevision)),
+                List.of(new KeyValueOperation.Put(key, VALUE, lease)));
+    }
+}
--- /dev/null
+++ b/teaselwood-store/src/main/java/org/teaselwood/store/declaration/Declarations.java
@@ -0,0 +1,187 @@
+package org.teaselwood.store.declaration;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.Guarantee;
+import org.teaselwood.model.ParameterRule;
+import org.teaselwood.model.ServiceState;
+import org.teaselwood.model.Team;
+import org.teaselwood.model.Template;
+import org.teaselwood.settings.Faults;
+import org.teaselwood.settings.IniDocument;
+import org.teaselwood.settings.SectionSchema;
+import org.teaselwood.settings.SectionValues;
+import org.teaselwood.settings.ValueTypes;
+import org.teaselwood.store.configuration.ConfigurationRules;
+
+/**
+ * Reads a file of declarations into a configuration of revision 0. Confined to one thread; one instance reads one file.
+ *
+ * <p>Sections: {@code [template NAME]}, {@code [parameter TEMPLATE NAME]}, {@code [team NAME]},
+ * {@code [guarantee TEAM NUMBER]} and {@code [server NAME]}. Parameters and guarantees stand in the order of the file.
+ */
+public final class Declarations {
+    private final Faults faults;
+    private final IniDocument document;
+    private final Map<String, SectionValues> templates = new TreeMap<>();
+    private final Map<String, SectionValues> teams = new TreeMap<>();
+    private final Map<String, List<ParameterRule>> parameters = new TreeMap<>();
+    private final Map<String, List<Guarantee>> guarantees = new TreeMap<>();
+    private final Map<String, ServiceState> servers = new TreeMap<>();
+    private boolean complete = true;
+
+    private Declarations(IniDocument document) {
+        this.document = document;
+        this.faults = new Faults(document.file());
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws org.teaselwood.model.TeaselwoodException of kind BAD_CONFIGURATION with file, line, section and key of
+     *     every fault
+     */
+    public static Configuration read(Path path) {
+        return of(IniDocument.read(path, ErrorKind.BAD_CONFIGURATION));
+    }
+
+    /**
+     * Checks a parsed file.
+     *
+     * @throws org.teaselwood.model.TeaselwoodException of kind BAD_CONFIGURATION with file, line, section and key of
+     *     every fault
+     */
+    public static Configuration of(IniDocument document) {
+        return new Declarations(document).read();
+    }
+
+    private Configuration read() {
+        document.sections().forEach(this::readSection);
+        document.sections().forEach(this::requireOwner);
+        faults.throwIfAny(ErrorKind.BAD_CONFIGURATION);
+        Configuration configuration = new Configuration(0, templates(), teams(), servers);
+        ConfigurationRules.check(configuration).forEach(this::addProblem);
+        faults.throwIfAny(ErrorKind.BAD_CONFIGURATION);
+        return configuration;
+    }
+
+    private void readSection(IniDocument.Section section) {
+        List<String> words = Arrays.asList(section.name().split(" ", -1));
+        String name = words.size() > 1 ? words.get(1) : "";
+        String form = words.getFirst() + "/" + words.size();
+        switch (form) {
+            case DeclarationKeys.TEMPLATE + "/2" ->
+                templates.put(name, parse(section, DeclarationKeys.TEMPLATE_SCHEMA));
+            case DeclarationKeys.TEAM + "/2" -> teams.put(name, parse(section, DeclarationKeys.TEAM_SCHEMA));
+            case DeclarationKeys.SERVER + "/2" -> readServer(section, name);
+            case DeclarationKeys.PARAMETER + "/3" -> readParameter(section, name, words.get(2));
+            case DeclarationKeys.GUARANTEE + "/3" -> readGuarantee(section, name, words.get(2));
+            default ->
+                faults.add(
+                        section.name(),
+                        "",
+                        section.line(),
+                        "the section is unknown; it must be [template NAME], [parameter TEMPLATE NAME], [team NAME],"
+                                + " [guarantee TEAM NUMBER] or [server NAME]");
+        }
+        words.stream().skip(1).filter(word -> !ValueTypes.isName(word)).forEach(word -> {
+            faults.add(section.name(), "", section.line(), "'" + word + "' is not a valid name");
+        });
+    }
+
+    private SectionValues parse(IniDocument.Section section, SectionSchema schema) {
+        SectionValues values = schema.parse(section, faults);
+        complete &= schema.settings().stream().allMatch(values::has);
+        return values;
+    }
+
+    private void readServer(IniDocument.Section section, String name) {
+        SectionValues values = parse(section, DeclarationKeys.SERVER_SCHEMA);
+        if (complete && values.get(DeclarationKeys.STATE) != ServiceState.IN_SERVICE) {
+            servers.put(name, values.get(DeclarationKeys.STATE));
+        }
+    }
+
+    private void readParameter(IniDocument.Section section, String template, String name) {
+        SectionValues values = parse(section, DeclarationKeys.PARAMETER_SCHEMA);
+        if (complete) {
+            parameters
+                    .computeIfAbsent(template, key -> new ArrayList<>())
+                    .add(new ParameterRule(
+                            name, values.get(DeclarationKeys.PATTERN), values.get(DeclarationKeys.DEFAULT)));
+        }
+    }
+
+    /** Guarantees are numbered in file order, so that a problem of the configuration is found again in the file. */
+    private void readGuarantee(IniDocument.Section section, String team, String number) {
+        SectionValues values = parse(section, DeclarationKeys.GUARANTEE_SCHEMA);
+        List<Guarantee> list = guarantees.computeIfAbsent(team, key -> new ArrayList<>());
+        if (complete) {
+            String expected = String.valueOf(list.size() + 1);
+            if (!expected.equals(number)) {
+                faults.add(section.name(), "", section.line(), "the number must be " + expected);
+            }
+            Set<String> capabilities = new TreeSet<>(values.get(DeclarationKeys.CAPABILITIES));
+            list.add(new Guarantee(DeclarationKeys.shapeOf(values), values.get(DeclarationKeys.COUNT), capabilities));
+        }
+    }
+
+    private void requireOwner(IniDocument.Section section) {
+        String[] words = section.name().split(" ", -1);
+        if (words.length != 3) {
+            return;
+        }
+        if (words[0].equals(DeclarationKeys.PARAMETER) && !templates.containsKey(words[1])) {
+            faults.add(section.name(), "", section.line(), "there is no section [template " + words[1] + "]");
+        }
+        if (words[0].equals(DeclarationKeys.GUARANTEE) && !teams.containsKey(words[1])) {
+            faults.add(section.name(), "", section.line(), "there is no section [team " + words[1] + "]");
+        }
+    }
+
+    private Map<String, Template> templates() {
+        Map<String, Template> result = new TreeMap<>();
+        templates.forEach((name, values) -> result.put(
+                name,
+                new Template(
+                        name,
+                        values.get(DeclarationKeys.KIND),
+                        DeclarationKeys.shapeOf(values),
+                        new TreeSet<>(values.get(DeclarationKeys.CAPABILITIES)),
+                        parameters.getOrDefault(name, List.of()),
+                        values.get(DeclarationKeys.RUN_TIME),
+                        values.get(DeclarationKeys.CHECKPOINTABLE),
+                        values.get(DeclarationKeys.ATTEMPTS),
+                        values.get(DeclarationKeys.COMMAND))));
+        return result;
+    }
+
+    private Map<String, Team> teams() {
+        Map<String, Team> result = new TreeMap<>();
+        teams.forEach((name, values) -> result.put(
+                name,
+                new Team(
+                        name,
+                        guarantees.getOrDefault(name, List.of()),
+                        values.get(DeclarationKeys.WEIGHT),
+                        values.get(DeclarationKeys.QUOTA),
+                        values.get(DeclarationKeys.QUEUE_LIMIT))));
+        return result;
+    }
+
+    private void addProblem(ConfigurationRules.Problem problem) {
+        IniDocument.Section section = document.find(problem.section()).orElse(null);
+        int line = section == null
+                ? 0
+                : section.find(problem.key()).map(IniDocument.Entry::line).orElse(section.line());
+        faults.add(problem.section(), problem.key(), line, problem.text());
+    }
+}
--- /dev/null
+++ b/teaselwood-store/src/main/java/org/teaselwood/store/declaration/package-info.java
@@ -0,0 +1,2 @@
+/** Operators' and callers' declarations in INI. */
+package org.teaselwood.store.declaration;
--- /dev/null
+++ b/teaselwood-store/src/test/java/org/teaselwood/store/configuration/ConfigurationSnapshotTest.java
@@ -0,0 +1,110 @@
+package org.teaselwood.store.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.ServiceState;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueCondition;
+import org.teaselwood.store.KeyValueOperation;
+import org.teaselwood.store.KeyValueTransaction;
+import org.teaselwood.store.declaration.Declarations;
+
+/** Tests of the configuration's documents, transactions and differences. */
+class ConfigurationSnapshotTest {
+    private static final Configuration LAB = Declarations.read(Path.of("../examples/lab/declarations.ini"));
+
+    /** Guards against documents that lose a value. */
+    @Test
+    void the_documents_of_a_change_are_decoded_to_its_configuration() {
+        Configuration first = revision(1, LAB, Map.of("winder-01", ServiceState.DRAINING));
+        ConfigurationSnapshot snapshot =
+                apply(ConfigurationSnapshot.EMPTY, ConfigurationSnapshot.EMPTY.transactionTo(first, "c1", "d1"), 7);
+        assertThat(snapshot).isEqualTo(new ConfigurationSnapshot(first, 7, Map.of("c1", new AcceptedChange(1, "d1"))));
+    }
+
+    /** Guards against a removed object that stays in the service, and against rewriting what did not change. */
+    @Test
+    void a_change_writes_only_what_differs() {
+        Configuration first = revision(1, LAB, Map.of("winder-01", ServiceState.DRAINING));
+        ConfigurationSnapshot snapshot = new ConfigurationSnapshot(first, 7, Map.of());
+        KeyValueTransaction transaction = snapshot.transactionTo(revision(2, LAB, Map.of()), "c2", "d2");
+        assertThat(transaction.operations().stream().map(KeyValueOperation::key))
+                .containsExactly(
+                        ConfigurationKeys.HEAD,
+                        ConfigurationKeys.CHANGE + "c2",
+                        ConfigurationKeys.SERVER + "winder-01");
+        assertThat(transaction.conditions())
+                .containsExactly(
+                        new KeyValueCondition(ConfigurationKeys.HEAD, 7),
+                        new KeyValueCondition(ConfigurationKeys.CHANGE + "c2", 0));
+        assertThat(ConfigurationDifference.between(first, revision(2, LAB, Map.of()))
+                        .lines())
+                .containsExactly("- server winder-01");
+    }
+
+    /** Guards against records of changes that fill the service. */
+    @Test
+    void old_records_of_changes_are_removed() {
+        int kept = ConfigurationSnapshot.KEPT_CHANGES;
+        Map<String, AcceptedChange> changes =
+                Map.of("old", new AcceptedChange(1, "d"), "newer", new AcceptedChange(2, "d"));
+        ConfigurationSnapshot snapshot = new ConfigurationSnapshot(revision(kept, LAB, Map.of()), 9, changes);
+        assertThat(snapshot.transactionTo(revision(kept + 1, LAB, Map.of()), "c", "d").operations().stream()
+                        .filter(KeyValueOperation.Delete.class::isInstance)
+                        .map(KeyValueOperation::key))
+                .containsExactly(ConfigurationKeys.CHANGE + "old");
+    }
+
+    /** Guards against a transaction that the service would refuse for its size. */
+    @Test
+    void a_change_of_too_many_documents_is_refused() {
+        Map<String, ServiceState> states = new TreeMap<>();
+        for (int number = 0; number < ConfigurationSnapshot.MAXIMUM_OPERATIONS; number++) {
+            states.put("server-" + number, ServiceState.DRAINING);
+        }
+        Configuration next = revision(1, Configuration.EMPTY, states);
+        assertThat(assertThrows(
+                                TeaselwoodException.class,
+                                () -> ConfigurationSnapshot.EMPTY.transactionTo(next, "c", "d"))
+                        .kind())
+                .isEqualTo(ErrorKind.BAD_CONFIGURATION);
+    }
+
+    /** Guards against a damaged document that stops the process or is taken for a configuration. */
+    @Test
+    void a_damaged_document_is_refused() {
+        List<String> documents = List.of("", "{", "[]", "{}", "{\"kind\":7}", "{\"kind\":\"JOB\",\"shape\":{}}");
+        for (String document : documents) {
+            KeyValue pair =
+                    new KeyValue(ConfigurationKeys.TEMPLATE + "t", document.getBytes(StandardCharsets.UTF_8), 3);
+            TeaselwoodException exception =
+                    assertThrows(TeaselwoodException.class, () -> ConfigurationSnapshot.decode(List.of(pair)));
+            assertThat(exception.kind()).isEqualTo(ErrorKind.BAD_CONFIGURATION);
+            assertThat(exception).hasMessageThat().contains(ConfigurationKeys.TEMPLATE + "t");
+        }
+    }
+
+    private static Configuration revision(long revision, Configuration base, Map<String, ServiceState> states) {
+        return new Configuration(revision, base.templates(), base.teams(), states);
+    }
+
+    /** Decodes what the service holds after a transaction on an empty service. */
+    private static ConfigurationSnapshot apply(
+            ConfigurationSnapshot before, KeyValueTransaction transaction, long serviceRevision) {
+        assertThat(before).isEqualTo(ConfigurationSnapshot.EMPTY);
+        return ConfigurationSnapshot.decode(transaction.operations().stream()
+                .map(KeyValueOperation.Put.class::cast)
+                .map(put -> new KeyValue(put.key(), put.value(), serviceRevision))
+                .toList());
+    }
+}
