--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration of an entry as a pure state machine, plugged into the entry core. */
+package org.teaselwood.entry.configuration;
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
@@ -59,7 +59,9 @@
                         EntryMessage.ToAgents.class,
                         EntryMessage.ForwardedRequest.class,
                         EntryMessage.ForwardedReply.class,
-                        EntryMessage.ForwardedRequestAbandoned.class));
+                        EntryMessage.ForwardedRequestAbandoned.class,
+                        EntryMessage.ConfigurationRequest.class,
+                        EntryMessage.ConfigurationDocument.class));
         register(
                 96,
                 List.of(
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/EntryMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/EntryMessage.java
@@ -1,6 +1,7 @@
 package org.teaselwood.protocol.message;
 
 import java.util.List;
+import org.teaselwood.model.Configuration;
 import org.teaselwood.model.Term;
 
 /** Messages between entries. */
@@ -45,4 +46,10 @@
 
     /** The sender does not wait for a forwarded request any more. */
     record ForwardedRequestAbandoned(long token) implements EntryMessage {}
+
+    /** Asks a peer for its configuration if that is newer than the given revision. */
+    record ConfigurationRequest(long revision) implements EntryMessage {}
+
+    /** A whole accepted configuration, for a peer that is behind. */
+    record ConfigurationDocument(Configuration configuration) implements EntryMessage {}
 }
--- a/teaselwood-store/src/main/java/org/teaselwood/store/configuration/ConfigurationRules.java
+++ b/teaselwood-store/src/main/java/org/teaselwood/store/configuration/ConfigurationRules.java
@@ -24,6 +24,7 @@
  * Whether the guarantees can be packed is checked elsewhere, because it depends on the backend servers. Thread-safe.
  */
 public final class ConfigurationRules {
+    private static final int MOST_SHOWN = 20;
     private static final int MOST_ITEMS = 64;
     private static final int MOST_CHARACTERS = 1_024;
     private static final int MOST = 65_536;
@@ -49,14 +50,15 @@
     /**
      * Requires that a configuration obeys the rules.
      *
-     * @throws TeaselwoodException of kind BAD_CONFIGURATION with one line for each problem
+     * @throws TeaselwoodException of kind BAD_CONFIGURATION with one line for each problem, at most
+     *     {@value #MOST_SHOWN}
      */
     public static void require(Configuration configuration) {
         List<Problem> problems = check(configuration);
         if (!problems.isEmpty()) {
             throw TeaselwoodException.of(
                     ErrorKind.BAD_CONFIGURATION,
-                    problems.stream().map(Problem::toString).collect(Collectors.joining("\n")));
+                    problems.stream().limit(MOST_SHOWN).map(Problem::toString).collect(Collectors.joining("\n")));
         }
     }
 
