--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
@@ -68,7 +68,9 @@
                         EntryMessage.JobRecord.class,
                         EntryMessage.KeyClaim.class,
                         EntryMessage.JobTableChange.class,
-                        EntryMessage.JobTableAcknowledged.class));
+                        EntryMessage.JobTableAcknowledged.class,
+                        EntryMessage.ConfigurationRequest.class,
+                        EntryMessage.ConfigurationDocument.class));
         register(
                 96,
                 List.of(
