Test the entry core with several entries and failures

Cause: forwarding, takeover, records, outages, attempts that fail, and leaving were written without tests. Entries that start together each saw the others as not ready yet and all became placer for two seconds.

Change: an entry waits for one more heartbeat before it may place, and announces its readiness at once. Tests in virtual time for takeover, a stale placer, a partition, repeated request keys, lost replies and outages of the key-value service, refused holds, lost and restarted agents, late answers, cancellation and leaving.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryContext.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryContext.java
@@ -76,6 +76,15 @@
         return now - startedAt >= timings().startMilliseconds();
     }
 
+    /**
+     * Whether this entry may place. It waits for one heartbeat more, in which entries that were started at the same
+     * time learn that the others are ready.
+     */
+    public boolean eligible() {
+        long waiting = timings().startMilliseconds() + timings().heartbeatMilliseconds();
+        return now - startedAt > waiting && !leaving;
+    }
+
     /** Whether the process was asked to stop. */
     public boolean leaving() {
         return leaving;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -217,6 +217,7 @@
         boolean ready = context.ready() && !context.leaving();
         if (ready != announcedReady) {
             announcedReady = ready;
+            membership.announce();
             context.effects().readinessChanged(ready, ready ? "" : "stopping");
         }
     }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Membership.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Membership.java
@@ -178,7 +178,7 @@
 
     /** Entries that may be placer, the first being the placer and the second its standby. */
     public List<String> ranking() {
-        Stream<String> self = context.ready() && !context.leaving() ? Stream.of(context.self()) : Stream.empty();
+        Stream<String> self = context.eligible() ? Stream.of(context.self()) : Stream.empty();
         Stream<String> others = peers.entrySet().stream()
                 .filter(entry -> isAlive(entry.getValue()) && entry.getValue().eligible())
                 .map(Map.Entry::getKey);
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/FakeAgent.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/FakeAgent.java
@@ -38,6 +38,8 @@
 
     Term term = Term.NONE;
     boolean leaving;
+    /** Whether Start gets lost on the way to the agent. */
+    boolean ignoresStart;
 
     private final VirtualRegion region;
     private final Set<PartKey> fenced = new TreeSet<>();
@@ -59,6 +61,9 @@
     }
 
     void handle(AgentCommand command) {
+        if (ignoresStart && command instanceof AgentCommand.Start) {
+            return;
+        }
         received.add(command);
         switch (command) {
             case AgentCommand.Hold hold
