Add the entry process and its HTTP front around the core's seam

Cause: callers and operators need the front, and the entry core needs threads, connections and a client of the key-value service. Change: one duty thread per core, TCP links by number, store calls with a timeout, the configuration watch, HTTP under /v1 with problem documents, tokens, body limits, progress as server-sent events, probes, metrics and a status page. A missing reply of the core is reported as no-placer (outcome unknown), because the core may still act on the request.

--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/JobJson.java
@@ -0,0 +1,100 @@
+package org.teaselwood.entry.http;
+
+import io.vertx.core.json.JsonObject;
+import java.util.Locale;
+import java.util.UUID;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobSubmission;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.message.JobView;
+
+/** Jobs and submissions in JSON. */
+public final class JobJson {
+    private static final int MAXIMUM_KEY_CHARACTERS = 200;
+    private static final int MAXIMUM_PARAMETERS = 256;
+    private static final long MAXIMUM_DEADLINE_MILLISECONDS = 30L * 24 * 3_600_000;
+
+    private JobJson() {}
+
+    /**
+     * A submission. A missing request key is made up here.
+     *
+     * @throws TeaselwoodException of kind BAD_REQUEST
+     */
+    public static JobSubmission submissionOf(JsonFields fields) {
+        JobSubmission submission = new JobSubmission(
+                fields.optionalText("requestKey")
+                        .orElseGet(() -> UUID.randomUUID().toString()),
+                fields.optionalText("requestKey").isPresent(),
+                fields.text("team"),
+                fields.text("template"),
+                fields.texts("parameters"),
+                fields.number("deadlineMilliseconds", 0, 0, MAXIMUM_DEADLINE_MILLISECONDS),
+                fields.flag("repeatable", true),
+                fields.flag("urgent", false));
+        fields.finish();
+        if (submission.requestKey().isEmpty() || submission.requestKey().length() > MAXIMUM_KEY_CHARACTERS) {
+            throw TeaselwoodException.of(
+                    ErrorKind.BAD_REQUEST, "requestKey must have 1 to " + MAXIMUM_KEY_CHARACTERS + " characters");
+        }
+        if (submission.parameters().size() > MAXIMUM_PARAMETERS) {
+            throw TeaselwoodException.of(
+                    ErrorKind.BAD_REQUEST, "at most " + MAXIMUM_PARAMETERS + " parameters are allowed");
+        }
+        return submission;
+    }
+
+    /** A submission as the command line sends it. */
+    public static JsonObject of(JobSubmission submission) {
+        JsonObject parameters = new JsonObject();
+        submission.parameters().forEach(parameters::put);
+        return new JsonObject()
+                .put("requestKey", submission.requestKey())
+                .put("team", submission.team())
+                .put("template", submission.template())
+                .put("parameters", parameters)
+                .put("deadlineMilliseconds", submission.deadlineMilliseconds())
+                .put("repeatable", submission.repeatable())
+                .put("urgent", submission.urgent());
+    }
+
+    /** A job as its caller sees it. */
+    public static JsonObject of(JobView view) {
+        JsonObject json = new JsonObject()
+                .put("job", view.job().value())
+                .put("region", view.region())
+                .put("requestKey", view.requestKey())
+                .put("team", view.team())
+                .put("template", view.template())
+                .put("state", code(view.state()))
+                .put("final", view.state().isFinal())
+                .put("outcome", code(view.outcome()))
+                .put("version", view.version())
+                .put("attempt", view.attempt())
+                .put("progressPercent", view.progressPercent())
+                .put("submittedMilliseconds", view.submittedMilliseconds())
+                .put("startedMilliseconds", view.startedMilliseconds())
+                .put("finishedMilliseconds", view.finishedMilliseconds())
+                .put("durable", view.durable());
+        if (!view.errorKind().isEmpty()) {
+            json.put("errorKind", view.errorKind());
+        }
+        if (!view.message().isEmpty()) {
+            json.put("message", view.message());
+        }
+        if (view.answerLength() >= 0) {
+            json.put("answerLength", view.answerLength()).put("answerCrc32c", checksum(view.answerChecksum()));
+        }
+        return json;
+    }
+
+    /** Lower-case name with hyphens. */
+    public static String code(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** A CRC-32C in eight hexadecimal digits. */
+    public static String checksum(int value) {
+        return String.format("%08x", value);
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/ProgressStream.java
@@ -0,0 +1,104 @@
+package org.teaselwood.entry.http;
+
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.ext.web.RoutingContext;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.FrontReply.JobReply;
+import org.teaselwood.protocol.message.FrontReply.Refused;
+import org.teaselwood.protocol.message.FrontRequest;
+import org.teaselwood.protocol.message.JobView;
+import org.teaselwood.protocol.message.Principal;
+
+/**
+ * Progress of one job as server-sent events. Each event {@code job} holds the job; the stream ends after its final
+ * state. When the entry shuts down or cannot serve any more, the last event is {@code ask-again}, and the caller
+ * connects to another entry. Confined to one event loop.
+ *
+ * <p>A caller that does not read keeps at most one event in memory: the next wait begins after the last was written.
+ */
+final class ProgressStream {
+    private static final long WAIT_MILLISECONDS = 15_000;
+
+    private final RequestHandlers requests;
+    private final CoreGateway gateway;
+    private final RoutingContext context;
+    private final Principal principal;
+    private final JobIdentifier job;
+    private CoreGateway.Call call;
+    private boolean closed;
+
+    private ProgressStream(RequestHandlers requests, CoreGateway gateway, RoutingContext context) {
+        this.requests = requests;
+        this.gateway = gateway;
+        this.context = context;
+        this.principal = RequestHandlers.principal(context);
+        this.job = RequestHandlers.job(context);
+    }
+
+    /** Opens a stream for a request. */
+    static void open(RequestHandlers requests, CoreGateway gateway, RoutingContext context) {
+        ProgressStream stream = new ProgressStream(requests, gateway, context);
+        FrontRequest first = new FrontRequest.QueryJob(stream.principal, stream.job);
+        requests.ask(context, first, reply -> {
+            HttpServerResponse response = context.response();
+            response.closeHandler(ignored -> stream.closed());
+            response.setChunked(true)
+                    .putHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
+                    .putHeader(HttpHeaders.CACHE_CONTROL, "no-store");
+            stream.received(reply, -1);
+        });
+    }
+
+    private void closed() {
+        closed = true;
+        if (call != null) {
+            call.abandon();
+        }
+    }
+
+    private void received(FrontReply reply, long seenVersion) {
+        if (closed) {
+            return;
+        }
+        switch (reply) {
+            case JobReply current -> write(current.job(), seenVersion);
+            case Refused refused -> end("ask-again", refused.message());
+            default -> end("ask-again", "unexpected reply");
+        }
+    }
+
+    private void write(JobView view, long seenVersion) {
+        if (view.state().isFinal()) {
+            end("job", JobJson.of(view).encode());
+            return;
+        }
+        String text = view.version() == seenVersion
+                ? ": unchanged\n\n"
+                : event("job", JobJson.of(view).encode());
+        context.response().write(text).onSuccess(ignored -> waitPast(view));
+    }
+
+    private void waitPast(JobView view) {
+        if (closed) {
+            return;
+        }
+        if (gateway.readiness().leaving()) {
+            end("ask-again", "The entry is shutting down; use another one");
+            return;
+        }
+        FrontRequest request = new FrontRequest.WaitForJob(principal, job, view.version(), false, WAIT_MILLISECONDS);
+        call = gateway.ask(request, WAIT_MILLISECONDS + requests.timeoutMilliseconds());
+        call.reply().onSuccess(reply -> received(reply, view.version()));
+    }
+
+    private void end(String name, String data) {
+        closed = true;
+        context.response().end(event(name, data));
+    }
+
+    private static String event(String name, String data) {
+        return "event: " + name + "\ndata: " + data.replace("\n", " ") + "\n\n";
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/Tokens.java
@@ -0,0 +1,94 @@
+package org.teaselwood.entry.http;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.message.Principal;
+
+/**
+ * Tokens of teams and operators. Immutable and thread-safe.
+ *
+ * <p>A given token is compared with every configured one, as SHA-256 digests in constant time, so that the response
+ * time tells neither a prefix of a token nor which team it belongs to.
+ */
+public final class Tokens {
+    private static final String BEARER = "Bearer ";
+    private static final String BASIC = "Basic ";
+
+    private final List<Entry> entries = new ArrayList<>();
+
+    private record Entry(byte[] digest, Principal principal) {}
+
+    /**
+     * Tokens by their holders. With no token at all every caller is an operator, which is allowed on loopback only.
+     *
+     * @param teamTokens token of each team by the team's name
+     * @param operatorToken token of the operators
+     */
+    public Tokens(Map<String, String> teamTokens, Optional<String> operatorToken) {
+        teamTokens.forEach((team, token) -> entries.add(new Entry(digestOf(token), new Principal(team, false))));
+        operatorToken.ifPresent(token -> entries.add(new Entry(digestOf(token), Principal.OPERATOR)));
+    }
+
+    /** Whether any token is configured. */
+    public boolean required() {
+        return !entries.isEmpty();
+    }
+
+    /**
+     * The holder of the token in an Authorization header. The Basic scheme takes the token as password, for browsers.
+     *
+     * @param header value of the header, null when it is missing
+     * @throws TeaselwoodException of kind UNAUTHENTICATED
+     */
+    public Principal principalOf(String header) {
+        if (!required()) {
+            return Principal.OPERATOR;
+        }
+        byte[] digest = digestOf(tokenOf(header));
+        Principal found = null;
+        for (Entry entry : entries) {
+            if (MessageDigest.isEqual(entry.digest, digest)) {
+                found = entry.principal;
+            }
+        }
+        if (found == null) {
+            throw TeaselwoodException.of(ErrorKind.UNAUTHENTICATED);
+        }
+        return found;
+    }
+
+    private static String tokenOf(String header) {
+        if (header != null && header.startsWith(BEARER)) {
+            return header.substring(BEARER.length()).trim();
+        }
+        if (header != null && header.startsWith(BASIC)) {
+            return passwordOf(header.substring(BASIC.length()).trim());
+        }
+        throw TeaselwoodException.of(ErrorKind.UNAUTHENTICATED);
+    }
+
+    private static String passwordOf(String encoded) {
+        try {
+            String pair = new String(Base64.getDecoder().decode(encoded), StandardCharsets.UTF_8);
+            return pair.substring(pair.indexOf(':') + 1);
+        } catch (IllegalArgumentException exception) {
+            throw TeaselwoodException.causedBy(exception, ErrorKind.UNAUTHENTICATED);
+        }
+    }
+
+    private static byte[] digestOf(String token) {
+        try {
+            return MessageDigest.getInstance("SHA-256").digest(token.getBytes(StandardCharsets.UTF_8));
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP for callers and operators. */
+package org.teaselwood.entry.http;
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics of the entry process. */
+package org.teaselwood.entry.metrics;
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryLinks.java
@@ -0,0 +1,176 @@
+package org.teaselwood.entry.process;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToLongFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.entry.core.EntryEvent;
+import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.MessageConnection;
+import org.teaselwood.protocol.SharedKey;
+import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+import org.teaselwood.protocol.message.Message;
+
+/**
+ * The TCP connections of an entry, known to the core by number. A number is never used twice in a process.
+ * Thread-safe.
+ *
+ * <p>For each number the core sees one LinkAccepted or LinkConnected, then messages, then one LinkClosed. A connection
+ * whose event the ring refused is closed, because the core must not miss a message of an open connection.
+ */
+final class EntryLinks {
+    private static final Logger LOGGER = LoggerFactory.getLogger(EntryLinks.class);
+
+    private final Vertx vertx;
+    private final InternalSettings settings;
+    private final SharedKey key;
+    private final EntryMetrics metrics;
+    private final AtomicLong numbers = new AtomicLong();
+    private final Map<Long, MessageConnection> links = new ConcurrentHashMap<>();
+    private final AtomicLong closedBytesSent = new AtomicLong();
+    private final AtomicLong closedBytesReceived = new AtomicLong();
+    private NetServer server;
+    private NetClient client;
+    private volatile EventSink sink;
+
+    EntryLinks(Vertx vertx, InternalSettings settings, EntryMetrics metrics) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.key = new SharedKey(settings.sharedKey());
+        this.metrics = metrics;
+        metrics.counter(
+                "control.bytes", "sent", this, links -> links.bytes(closedBytesSent, MessageConnection::bytesSent));
+        metrics.counter(
+                "control.bytes",
+                "received",
+                this,
+                links -> links.bytes(closedBytesReceived, MessageConnection::bytesReceived));
+        metrics.gauge("links", links, Map::size);
+    }
+
+    /** Starts to listen; connections are refused until {@link #start}. */
+    Future<Integer> listen() {
+        client = vertx.createNetClient(settings.clientOptions());
+        return vertx.createNetServer(settings.serverOptions())
+                .connectHandler(this::accepted)
+                .exceptionHandler(exception -> LOGGER.warn("connection refused: {}", exception.toString()))
+                .listen()
+                .map(listening -> {
+                    server = listening;
+                    return listening.actualPort();
+                });
+    }
+
+    /** Accepts connections from now on. */
+    void start(EventSink target) {
+        sink = target;
+    }
+
+    /** Sends a message; it is lost when the connection is not open. */
+    void send(long link, Message message) {
+        MessageConnection connection = links.get(link);
+        if (connection == null) {
+            return;
+        }
+        try {
+            connection.send(message);
+        } catch (TeaselwoodException exception) {
+            metrics.counted("messages.dropped");
+            LOGGER.error("{} was not sent: {}", message.getClass().getSimpleName(), exception.getMessage());
+        }
+    }
+
+    /** Closes a connection. */
+    void close(long link) {
+        MessageConnection connection = links.get(link);
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    /** Opens a connection to another entry. */
+    void connect(EntryAddress address) {
+        client.connect(address.port(), address.host())
+                .onSuccess(socket -> MessageConnection.connect(socket, key, new Link(address)))
+                .onFailure(exception -> {
+                    LOGGER.debug("entry {} cannot be reached: {}", address, exception.toString());
+                    sink.deliver(new EntryEvent.ConnectFailed(address));
+                });
+    }
+
+    /** Closes the server and all connections. */
+    Future<Void> close() {
+        links.values().forEach(MessageConnection::close);
+        Future<Void> closedServer = server == null ? Future.succeededFuture() : server.close();
+        return closedServer.eventually(() -> client == null ? Future.succeededFuture() : client.close());
+    }
+
+    private void accepted(NetSocket socket) {
+        if (sink == null) {
+            socket.close();
+            return;
+        }
+        MessageConnection.accept(socket, key, new Link(null));
+    }
+
+    private double bytes(AtomicLong closed, ToLongFunction<MessageConnection> count) {
+        return closed.get() + links.values().stream().mapToLong(count).sum();
+    }
+
+    /** Tells the core of one connection. Confined to the event loop of the connection. */
+    private final class Link implements MessageConnection.Listener {
+        private final long number = numbers.incrementAndGet();
+        private final EntryAddress address;
+        private boolean known;
+        private boolean broken;
+
+        Link(EntryAddress address) {
+            this.address = address;
+        }
+
+        @Override
+        public void opened(MessageConnection connection) {
+            links.put(number, connection);
+            EntryEvent event = address == null
+                    ? new EntryEvent.LinkAccepted(number)
+                    : new EntryEvent.LinkConnected(number, address);
+            known = sink.offer(event);
+            breakUnless(known, connection);
+        }
+
+        @Override
+        public void received(MessageConnection connection, Message message) {
+            if (!broken) {
+                breakUnless(sink.offer(new EntryEvent.MessageReceived(number, message)), connection);
+            }
+        }
+
+        @Override
+        public void closed(MessageConnection connection) {
+            broken = true;
+            links.remove(number);
+            closedBytesSent.addAndGet(connection.bytesSent());
+            closedBytesReceived.addAndGet(connection.bytesReceived());
+            if (known) {
+                sink.deliver(new EntryEvent.LinkClosed(number));
+            } else if (address != null) {
+                sink.deliver(new EntryEvent.ConnectFailed(address));
+            }
+        }
+
+        private void breakUnless(boolean taken, MessageConnection connection) {
+            if (!taken) {
+                broken = true;
+                connection.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
@@ -0,0 +1,137 @@
+package org.teaselwood.entry.process;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.entry.core.EntryEvent;
+import org.teaselwood.entry.http.HttpFront;
+import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+import org.teaselwood.store.KeyValueService;
+
+/**
+ * One entry: its core on a duty thread, its connections, its front, and its client of the key-value service. Several
+ * may live in one virtual machine.
+ *
+ * <p>Shutdown, in this order: {@code /readyz} fails; after the grace the core is asked to drain; when the core has
+ * drained and every response is written, the front, the connections and the thread are closed.
+ */
+public final class EntryProcess {
+    private static final Logger LOGGER = LoggerFactory.getLogger(EntryProcess.class);
+    private static final long POLL_MILLISECONDS = 20;
+    private static final long REPORT_MILLISECONDS = 5_000;
+
+    private final Vertx vertx;
+    private final EntrySettings settings;
+    private final KeyValueService service;
+    private final EntryMetrics metrics = new EntryMetrics();
+    private final FrontGateway gateway;
+    private final EntryLinks links;
+    private final HttpFront front;
+    private final Promise<Void> drained = Promise.promise();
+    private EventSink sink;
+    private ConfigurationWatch watch;
+    private int internalPort;
+    private int httpPort;
+    private Future<Void> stopped;
+
+    private EntryProcess(Vertx vertx, EntrySettings settings, KeyValueService service) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.service = service;
+        this.gateway = new FrontGateway(vertx, metrics);
+        this.links = new EntryLinks(vertx, settings.internal(), metrics);
+        this.front = new HttpFront(vertx, settings.http(), gateway, metrics);
+    }
+
+    /**
+     * Starts an entry.
+     *
+     * @param service client of the key-value service; closed with the entry
+     */
+    public static Future<EntryProcess> start(
+            Vertx vertx, EntrySettings settings, KeyValueService service, CoreFactory factory) {
+        EntryProcess process = new EntryProcess(vertx, settings, service);
+        return process.links
+                .listen()
+                .map(port -> process.startCore(port, factory))
+                .compose(started -> process.front.listen())
+                .map(port -> {
+                    process.httpPort = port;
+                    LOGGER.info(
+                            "entry {} serves HTTP on {}:{} and agents on {}:{}",
+                            settings.entry(),
+                            settings.http().host(),
+                            port,
+                            settings.internal().host(),
+                            process.internalPort);
+                    return process;
+                });
+    }
+
+    /** Port of the front. */
+    public int httpPort() {
+        return httpPort;
+    }
+
+    /** Port for agents and other entries. */
+    public int internalPort() {
+        return internalPort;
+    }
+
+    /** Shuts down without cutting a request short; the same future for every call. */
+    public synchronized Future<Void> shutdown() {
+        if (stopped == null) {
+            LOGGER.info("entry {} shuts down", settings.entry());
+            gateway.leave();
+            stopped = vertx.timer(Math.max(1, settings.readinessGrace().toMillis()))
+                    .mapEmpty()
+                    .compose(ignored -> drain())
+                    .compose(ignored -> front.close())
+                    .compose(ignored -> close());
+        }
+        return stopped;
+    }
+
+    private EntryProcess startCore(int port, CoreFactory factory) {
+        internalPort = port;
+        EntryAddress self = new EntryAddress(
+                settings.entry(), settings.dataCentre(), settings.internal().host(), port);
+        sink = new EventSink(vertx, "core-" + settings.entry(), MonotonicClock.system(), metrics);
+        StoreCaller store = new StoreCaller(service, settings.storeTimeout(), metrics, sink);
+        ProcessEffects effects = new ProcessEffects(links, gateway, store, metrics, drained::tryComplete);
+        sink.start(factory.create(self, effects));
+        gateway.start(sink);
+        links.start(sink);
+        watch = new ConfigurationWatch(vertx, service, sink, metrics);
+        watch.open();
+        return this;
+    }
+
+    private Future<Void> drain() {
+        sink.deliver(new EntryEvent.ShutdownRequested());
+        long reporter = vertx.setPeriodic(
+                REPORT_MILLISECONDS,
+                ignored -> LOGGER.info("entry {} still has {} open requests", settings.entry(), front.openRequests()));
+        return drained.future()
+                .compose(ignored -> responsesWritten())
+                .onComplete(ignored -> vertx.cancelTimer(reporter));
+    }
+
+    private Future<Void> responsesWritten() {
+        if (front.openRequests() == 0) {
+            return Future.succeededFuture();
+        }
+        return vertx.timer(POLL_MILLISECONDS).mapEmpty().compose(ignored -> responsesWritten());
+    }
+
+    private Future<Void> close() {
+        watch.close();
+        sink.close();
+        service.close();
+        return links.close().onComplete(ignored -> LOGGER.info("entry {} has stopped", settings.entry()));
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/FrontGateway.java
@@ -0,0 +1,132 @@
+package org.teaselwood.entry.process;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.teaselwood.entry.core.EntryEvent;
+import org.teaselwood.entry.http.CoreGateway;
+import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.FrontRequest;
+
+/**
+ * Gives each request of the front a token and takes the core's reply back to the event loop of the request.
+ * Thread-safe.
+ *
+ * <p>The number of open requests is bounded, so that callers that wait cost bounded memory.
+ */
+final class FrontGateway implements CoreGateway {
+    private static final int MAXIMUM_OPEN_REQUESTS = 16_384;
+
+    private final Vertx vertx;
+    private final AtomicLong tokens = new AtomicLong();
+    private final Map<Long, OpenCall> calls = new ConcurrentHashMap<>();
+    private volatile EventSink sink;
+    private volatile Readiness readiness = new Readiness(false, "starting", false);
+
+    FrontGateway(Vertx vertx, EntryMetrics metrics) {
+        this.vertx = vertx;
+        metrics.gauge("open.calls", calls, Map::size);
+        metrics.gauge("ready", this, gateway -> gateway.readiness().ready() ? 1 : 0);
+    }
+
+    void start(EventSink target) {
+        sink = target;
+    }
+
+    @Override
+    public Call ask(FrontRequest request, long timeoutMilliseconds) {
+        Context context = vertx.getOrCreateContext();
+        OpenCall call = new OpenCall(tokens.incrementAndGet(), context);
+        if (calls.size() >= MAXIMUM_OPEN_REQUESTS) {
+            call.refuse(ErrorKind.OVERLOADED, "too many open requests");
+            return call;
+        }
+        calls.put(call.token, call);
+        call.timer = vertx.setTimer(timeoutMilliseconds, ignored -> call.timedOut());
+        if (!sink.offer(new EntryEvent.FrontRequested(call.token, request))) {
+            calls.remove(call.token);
+            call.refuse(ErrorKind.OVERLOADED, "its queue is full");
+        }
+        return call;
+    }
+
+    @Override
+    public Readiness readiness() {
+        return readiness;
+    }
+
+    /** Sets what {@code /readyz} tells; ignored once a shutdown has begun. */
+    synchronized void readinessChanged(boolean ready, String reason) {
+        if (!readiness.leaving()) {
+            readiness = new Readiness(ready, reason, false);
+        }
+    }
+
+    /** Fails {@code /readyz} for good. */
+    synchronized void leave() {
+        readiness = new Readiness(false, "shutting down", true);
+    }
+
+    /** The core's reply; ignored when the caller has gone. */
+    void reply(long token, FrontReply reply) {
+        OpenCall call = calls.remove(token);
+        if (call != null) {
+            call.complete(reply);
+        }
+    }
+
+    /** Calls that the core has not replied to. */
+    int openCalls() {
+        return calls.size();
+    }
+
+    /** One call; its promise is completed once, on the event loop of the request. */
+    private final class OpenCall implements Call {
+        private final long token;
+        private final Context context;
+        private final Promise<FrontReply> promise = Promise.promise();
+        private volatile long timer = -1;
+
+        OpenCall(long token, Context context) {
+            this.token = token;
+            this.context = context;
+        }
+
+        @Override
+        public Future<FrontReply> reply() {
+            return promise.future();
+        }
+
+        @Override
+        public void abandon() {
+            if (calls.remove(token) != null) {
+                vertx.cancelTimer(timer);
+                sink.deliver(new EntryEvent.FrontAbandoned(token));
+            }
+        }
+
+        /** The outcome is not known: the core may still act on the request. */
+        private void timedOut() {
+            if (calls.remove(token) != null) {
+                sink.deliver(new EntryEvent.FrontAbandoned(token));
+                promise.tryComplete(FrontReply.Refused.of(ErrorKind.NO_PLACER));
+            }
+        }
+
+        private void complete(FrontReply reply) {
+            vertx.cancelTimer(timer);
+            context.runOnContext(ignored -> promise.tryComplete(reply));
+        }
+
+        private void refuse(ErrorKind kind, String detail) {
+            vertx.cancelTimer(timer);
+            promise.tryComplete(FrontReply.Refused.of(kind, detail));
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ProcessEffects.java
@@ -0,0 +1,82 @@
+package org.teaselwood.entry.process;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+import org.teaselwood.entry.core.EntryEffects;
+import org.teaselwood.entry.core.StoreCall;
+import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.Message;
+
+/** Carries out the effects of the core. Called on the core's thread; nothing here blocks. */
+final class ProcessEffects implements EntryEffects {
+    private static final Logger LOGGER = LoggerFactory.getLogger("org.teaselwood.entry.core");
+
+    private final EntryLinks links;
+    private final FrontGateway gateway;
+    private final StoreCaller store;
+    private final EntryMetrics metrics;
+    private final Runnable drained;
+
+    ProcessEffects(EntryLinks links, FrontGateway gateway, StoreCaller store, EntryMetrics metrics, Runnable drained) {
+        this.links = links;
+        this.gateway = gateway;
+        this.store = store;
+        this.metrics = metrics;
+        this.drained = drained;
+    }
+
+    @Override
+    public void send(long link, Message message) {
+        links.send(link, message);
+    }
+
+    @Override
+    public void closeLink(long link) {
+        links.close(link);
+    }
+
+    @Override
+    public void connect(EntryAddress address) {
+        links.connect(address);
+    }
+
+    @Override
+    public void callStore(long token, StoreCall call) {
+        store.call(token, call);
+    }
+
+    @Override
+    public void reply(long token, FrontReply reply) {
+        gateway.reply(token, reply);
+    }
+
+    @Override
+    public void readinessChanged(boolean ready, String reason) {
+        gateway.readinessChanged(ready, reason);
+    }
+
+    @Override
+    public void drained() {
+        drained.run();
+    }
+
+    @Override
+    public void observed(String metric, String team, long milliseconds) {
+        metrics.observed(metric, team, milliseconds);
+    }
+
+    @Override
+    public void logged(String message, String job, String team) {
+        LoggingEventBuilder event = LOGGER.atInfo();
+        if (!job.isEmpty()) {
+            event = event.addKeyValue("job", job);
+        }
+        if (!team.isEmpty()) {
+            event = event.addKeyValue("team", team);
+        }
+        event.log(message);
+    }
+}
