Name the settings of the entry process apart from those of the settings file

Cause: the settings reader has a type EntrySettings of its own, and agents show no certificate. Change: ProcessSettings; internal TLS verifies the accepting side by its authority and the connecting side by the shared key.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
@@ -25,7 +25,7 @@
     private static final long REPORT_MILLISECONDS = 5_000;
 
     private final Vertx vertx;
-    private final EntrySettings settings;
+    private final ProcessSettings settings;
     private final KeyValueService service;
     private final EntryMetrics metrics = new EntryMetrics();
     private final FrontGateway gateway;
@@ -38,7 +38,7 @@
     private int httpPort;
     private Future<Void> stopped;
 
-    private EntryProcess(Vertx vertx, EntrySettings settings, KeyValueService service) {
+    private EntryProcess(Vertx vertx, ProcessSettings settings, KeyValueService service) {
         this.vertx = vertx;
         this.settings = settings;
         this.service = service;
@@ -53,7 +53,7 @@
      * @param service client of the key-value service; closed with the entry
      */
     public static Future<EntryProcess> start(
-            Vertx vertx, EntrySettings settings, KeyValueService service, CoreFactory factory) {
+            Vertx vertx, ProcessSettings settings, KeyValueService service, CoreFactory factory) {
         EntryProcess process = new EntryProcess(vertx, settings, service);
         return process.links
                 .listen()
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/InternalSettings.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/InternalSettings.java
@@ -1,6 +1,5 @@
 package org.teaselwood.entry.process;
 
-import io.vertx.core.http.ClientAuth;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.PemTrustOptions;
@@ -19,10 +18,11 @@
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 2_000;
 
     /**
-     * TLS between our own processes. Both sides show a certificate of the same authority.
+     * TLS between our own processes. The accepting side shows its certificate; the connecting side proves itself by the
+     * shared key.
      *
      * @param certificate own certificate
-     * @param authorityFile PEM file of the authority that signed the certificates of all processes
+     * @param authorityFile PEM file of the authority that signed the certificates of all entries
      */
     public record InternalTls(ServerCertificate certificate, String authorityFile) {}
 
@@ -30,9 +30,7 @@
         NetServerOptions options =
                 new NetServerOptions().setHost(host).setPort(port).setTcpNoDelay(true);
         tls.ifPresent(files -> options.setSsl(true)
-                .setClientAuth(ClientAuth.REQUIRED)
-                .setKeyCertOptions(files.certificate().options())
-                .setTrustOptions(new PemTrustOptions().addCertPath(files.authorityFile())));
+                .setKeyCertOptions(files.certificate().options()));
         return options;
     }
 
@@ -43,7 +41,6 @@
                 .setTcpNoDelay(true);
         tls.ifPresent(files -> options.setSsl(true)
                 .setHostnameVerificationAlgorithm("")
-                .setKeyCertOptions(files.certificate().options())
                 .setTrustOptions(new PemTrustOptions().addCertPath(files.authorityFile())));
         return options;
     }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntrySettings.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ProcessSettings.java
@@ -15,7 +15,7 @@
  * @param readinessGrace time between the failing of {@code /readyz} and the shutdown of the core, for the balancer to
  *     notice
  */
-public record EntrySettings(
+public record ProcessSettings(
         String entry,
         String region,
         String dataCentre,
