Register entries under a lease in the key-value service

Cause: an entry that starts later finds the others only by its seeds. Change: each entry keeps its address under a 10 s lease, renewed every 3 s, and gives the addresses that it finds at its start to the core as further seeds. Conclusion: a start without the key-value service is delayed by one store timeout and goes on; the tests run with the service down.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/CoreFactory.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/CoreFactory.java
@@ -1,5 +1,6 @@
 package org.teaselwood.entry.process;
 
+import java.util.List;
 import org.teaselwood.entry.core.EntryEffects;
 import org.teaselwood.entry.core.EntryEvent;
 import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
@@ -11,8 +12,9 @@
      * Makes the core.
      *
      * @param self address at which the process listens for other processes
+     * @param registered addresses of entries found in the key-value service; may be empty
      */
-    Core create(EntryAddress self, EntryEffects effects);
+    Core create(EntryAddress self, List<EntryAddress> registered, EntryEffects effects);
 
     /** The core as the process sees it. Called on its duty thread only. */
     @FunctionalInterface
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.entry.core.EntryEvent;
@@ -34,6 +35,7 @@
     private final Promise<Void> drained = Promise.promise();
     private EventSink sink;
     private ConfigurationWatch watch;
+    private EntryRegistration registration;
     private int internalPort;
     private int httpPort;
     private Future<Void> stopped;
@@ -57,7 +59,8 @@
         EntryProcess process = new EntryProcess(vertx, settings, service);
         return process.links
                 .listen()
-                .map(port -> process.startCore(port, factory))
+                .compose(process::registeredEntries)
+                .map(registered -> process.startCore(registered, factory))
                 .compose(started -> process.front.listen())
                 .map(port -> {
                     process.httpPort = port;
@@ -89,6 +92,7 @@
             gateway.leave();
             stopped = vertx.timer(Math.max(1, settings.readinessGrace().toMillis()))
                     .mapEmpty()
+                    .compose(ignored -> withdraw())
                     .compose(ignored -> drain())
                     .compose(ignored -> front.close())
                     .compose(ignored -> close());
@@ -96,21 +100,33 @@
         return stopped;
     }
 
-    private EntryProcess startCore(int port, CoreFactory factory) {
+    private Future<List<EntryAddress>> registeredEntries(int port) {
         internalPort = port;
+        return Future.fromCompletionStage(
+                EntryRegistration.registered(service, settings.region(), settings.storeTimeout())
+                        .subscribeAsCompletionStage());
+    }
+
+    private EntryProcess startCore(List<EntryAddress> registered, CoreFactory factory) {
         EntryAddress self = new EntryAddress(
-                settings.entry(), settings.dataCentre(), settings.internal().host(), port);
+                settings.entry(), settings.dataCentre(), settings.internal().host(), internalPort);
         sink = new EventSink(vertx, "core-" + settings.entry(), MonotonicClock.system(), metrics);
         StoreCaller store = new StoreCaller(service, settings.storeTimeout(), metrics, sink);
         ProcessEffects effects = new ProcessEffects(links, gateway, store, metrics, drained::tryComplete);
-        sink.start(factory.create(self, effects));
+        sink.start(factory.create(self, registered, effects));
         gateway.start(sink);
         links.start(sink);
         watch = new ConfigurationWatch(vertx, service, sink, metrics);
         watch.open();
+        registration = new EntryRegistration(vertx, service, settings.region(), self, settings.storeTimeout());
+        registration.start();
         return this;
     }
 
+    private Future<Void> withdraw() {
+        return Future.fromCompletionStage(registration.withdraw().subscribeAsCompletionStage());
+    }
+
     private Future<Void> drain() {
         sink.deliver(new EntryEvent.ShutdownRequested());
         long reporter = vertx.setPeriodic(
--- /dev/null
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryRegistration.java
@@ -0,0 +1,122 @@
+package org.teaselwood.entry.process;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueOperation;
+import org.teaselwood.store.KeyValueService;
+import org.teaselwood.store.KeyValueTransaction;
+
+/**
+ * Keeps the address of this entry under a lease in the key-value service, for entries that start later, and reads the
+ * addresses of those that started earlier. Nothing depends on it: seeds and peers tell the same. Thread-safe.
+ */
+final class EntryRegistration {
+    private static final Logger LOGGER = LoggerFactory.getLogger(EntryRegistration.class);
+    private static final long LEASE_SECONDS = 10;
+    private static final long RENEWAL_MILLISECONDS = 3_000;
+    private static final String PREFIX = "/teaselwood/entries/";
+
+    private final Vertx vertx;
+    private final KeyValueService service;
+    private final String region;
+    private final EntryAddress self;
+    private final Duration timeout;
+    /** 0 while there is none. */
+    private volatile long lease;
+
+    private volatile boolean closed;
+
+    EntryRegistration(Vertx vertx, KeyValueService service, String region, EntryAddress self, Duration timeout) {
+        this.vertx = vertx;
+        this.service = service;
+        this.region = region;
+        this.self = self;
+        this.timeout = timeout;
+    }
+
+    /** Addresses of the entries of a region that hold a lease; empty when the service does not answer in time. */
+    static Uni<List<EntryAddress>> registered(KeyValueService service, String region, Duration timeout) {
+        return service.list(PREFIX + region + "/")
+                .ifNoItem()
+                .after(timeout)
+                .fail()
+                .map(values ->
+                        values.stream().flatMap(EntryRegistration::decode).toList())
+                .onFailure()
+                .recoverWithItem(List.of());
+    }
+
+    /** Registers and keeps the lease until closed. */
+    void start() {
+        if (closed) {
+            return;
+        }
+        Uni<Void> step = lease == 0 ? register() : service.renewLease(lease);
+        step.ifNoItem().after(timeout).fail().subscribe().with(ignored -> again(), failure -> {
+            LOGGER.debug("the registration failed: {}", String.valueOf(failure.getMessage()));
+            lease = 0;
+            again();
+        });
+    }
+
+    /** Ends the renewal and deletes the key; the result never fails, because the key lapses with its lease anyway. */
+    Uni<Void> withdraw() {
+        closed = true;
+        KeyValueTransaction deletion = new KeyValueTransaction(List.of(), List.of(new KeyValueOperation.Delete(key())));
+        return service.transact(deletion)
+                .ifNoItem()
+                .after(timeout)
+                .fail()
+                .replaceWithVoid()
+                .onFailure()
+                .recoverWithNull();
+    }
+
+    private void again() {
+        vertx.setTimer(RENEWAL_MILLISECONDS, ignored -> start());
+    }
+
+    private Uni<Void> register() {
+        byte[] value = new JsonObject()
+                .put("entry", self.entry())
+                .put("dataCentre", self.dataCentre())
+                .put("host", self.host())
+                .put("port", self.port())
+                .toBuffer()
+                .getBytes();
+        return service.grantLease(LEASE_SECONDS).flatMap(granted -> {
+            lease = granted;
+            return service.transact(new KeyValueTransaction(
+                            List.of(), List.of(new KeyValueOperation.Put(key(), value, granted))))
+                    .replaceWithVoid();
+        });
+    }
+
+    private String key() {
+        return PREFIX + region + "/" + self.entry();
+    }
+
+    private static Stream<EntryAddress> decode(KeyValue registered) {
+        try {
+            JsonObject json = new JsonObject(Buffer.buffer(registered.value()));
+            return Stream.of(new EntryAddress(
+                    json.getString("entry"),
+                    json.getString("dataCentre"),
+                    json.getString("host"),
+                    json.getInteger("port")));
+        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+            LOGGER.warn("key {} holds no address of an entry", registered.key());
+            return Stream.empty();
+        }
+    }
+}
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/InternalSettings.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/InternalSettings.java
@@ -29,8 +29,8 @@
     NetServerOptions serverOptions() {
         NetServerOptions options =
                 new NetServerOptions().setHost(host).setPort(port).setTcpNoDelay(true);
-        tls.ifPresent(files -> options.setSsl(true)
-                .setKeyCertOptions(files.certificate().options()));
+        tls.ifPresent(files ->
+                options.setSsl(true).setKeyCertOptions(files.certificate().options()));
         return options;
     }
 
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/process/HttpFrontTest.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/process/HttpFrontTest.java
@@ -55,7 +55,7 @@
                 new HttpSettings("127.0.0.1", 0, 4_096, 500, Optional.empty(), tokens),
                 Duration.ofMillis(100),
                 Duration.ofMillis(100));
-        process = EntryProcess.start(vertx, settings, new UnavailableStore(), (self, effects) -> {
+        process = EntryProcess.start(vertx, settings, new UnavailableStore(), (self, registered, effects) -> {
                     core = new ScriptedCore(effects, this::replyTo);
                     return core;
                 })
