Add the command line, the assembly of the entry and the demo

Cause: operators and callers need commands, and newcomers a whole cluster that runs in one process. Change: JCommander commands with the exit codes 0, 1, 64, 69, 70 and 78 and JSON output; EntryAssembly makes an entry from a settings file, with the guarantee scheduler; the demo starts the key-value stand-in, three entries and 11 agents with workers over loopback sockets from the Lab's files and verifies every answer. A submission may leave out the team, which is then the token's. Conclusion: tests of the front and of the exit codes pass. The demo does not run yet: the core refuses configuration changes.

--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/ApplyCommand.java
@@ -0,0 +1,70 @@
+package org.teaselwood.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.file.Path;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.protocol.message.ConfigurationChange;
+import org.teaselwood.store.configuration.ConfigurationDifference;
+import org.teaselwood.store.declaration.Declarations;
+
+/** Publishes declarations, or only checks them. */
+@Parameters(commandDescription = "Publish declarations; refused when the configuration moved meanwhile")
+final class ApplyCommand extends ClientCommand {
+    /** Tries with the same change identifier, which the entries know again. */
+    private static final int TRIES = 5;
+
+    private static final long PAUSE_MILLISECONDS = 1_000;
+
+    @Parameter(
+            description = "FILE: INI file with declarations",
+            validateWith = PositionalArgument.class,
+            required = true)
+    private String file;
+
+    @Parameter(names = "--dry-run", description = "Only check; change nothing")
+    private boolean dryRun;
+
+    @Override
+    ExitCode run(EntryClient client, Console console) {
+        Configuration declared = Declarations.read(Path.of(file));
+        Configuration inForce = client.configuration();
+        ConfigurationDifference difference = ConfigurationDifference.between(inForce, declared);
+        Configuration result =
+                difference.isEmpty() ? inForce : publish(client, DeclarationChange.of(inForce, difference));
+        JsonObject json = new JsonObject()
+                .put("dryRun", dryRun)
+                .put("revision", result.revision())
+                .put("differences", new JsonArray(difference.lines()));
+        String summary = difference.isEmpty()
+                ? "nothing to change; revision " + result.revision() + " is in force"
+                : String.join("\n", difference.lines()) + "\n"
+                        + (dryRun ? "accepted by the check; nothing was changed" : "revision " + result.revision());
+        write(console, json, summary);
+        return ExitCode.OK;
+    }
+
+    private Configuration publish(EntryClient client, ConfigurationChange change) {
+        for (int tries = 1; true; tries++) {
+            try {
+                return client.change(change, dryRun);
+            } catch (CommandException exception) {
+                if (tries == TRIES || exception.code() != ExitCode.UNAVAILABLE) {
+                    throw exception;
+                }
+                pause();
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new CommandException(ExitCode.INTERNAL, "interrupted");
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/CheckSettingsCommand.java
@@ -0,0 +1,38 @@
+package org.teaselwood.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.settings.AgentSettings;
+import org.teaselwood.settings.EntrySettings;
+import org.teaselwood.settings.IniDocument;
+
+/** Checks a settings file of an entry or an agent without starting anything. */
+@Parameters(commandDescription = "Check a settings file of an entry or an agent")
+final class CheckSettingsCommand implements Command {
+    private static final String AGENT_SECTION = "agent";
+
+    @Parameter(description = "FILE", validateWith = PositionalArgument.class, required = true)
+    private String file;
+
+    @Parameter(names = "--help", help = true, description = "Show the options of this command")
+    private boolean help;
+
+    @Override
+    public ExitCode run(Console console) {
+        IniDocument document = IniDocument.read(Path.of(file), ErrorKind.BAD_SETTING);
+        if (document.find(AGENT_SECTION).isPresent()) {
+            AgentSettings.of(document);
+        } else {
+            EntrySettings.of(document);
+        }
+        console.line(file + ": valid");
+        return ExitCode.OK;
+    }
+
+    @Override
+    public boolean help() {
+        return help;
+    }
+}
--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/DeclarationChange.java
@@ -0,0 +1,44 @@
+package org.teaselwood.cli;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.UUID;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.ServiceState;
+import org.teaselwood.protocol.message.ConfigurationChange;
+import org.teaselwood.store.configuration.ConfigurationDifference;
+import org.teaselwood.store.configuration.ConfigurationDifference.Item;
+
+/** The change that turns the configuration in force into the declared one. */
+public final class DeclarationChange {
+    private DeclarationChange() {}
+
+    /** The change with a new identifier; it is refused when the configuration has moved since it was read. */
+    public static ConfigurationChange of(Configuration inForce, ConfigurationDifference difference) {
+        Map<String, ServiceState> states = new TreeMap<>();
+        difference
+                .servers()
+                .forEach(item -> states.put(item.name(), item.after().orElse(ServiceState.IN_SERVICE)));
+        return new ConfigurationChange(
+                UUID.randomUUID().toString(),
+                inForce.revision(),
+                published(difference.templates()),
+                removed(difference.templates()),
+                published(difference.teams()),
+                removed(difference.teams()),
+                states);
+    }
+
+    private static <T> List<T> published(List<Item<T>> items) {
+        return items.stream().map(Item::after).flatMap(Optional::stream).toList();
+    }
+
+    private static <T> List<String> removed(List<Item<T>> items) {
+        return items.stream()
+                .filter(item -> item.after().isEmpty())
+                .map(Item::name)
+                .toList();
+    }
+}
--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/EntryClient.java
@@ -0,0 +1,212 @@
+package org.teaselwood.cli;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.PemTrustOptions;
+import io.vertx.ext.web.client.HttpRequest;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.teaselwood.entry.http.ConfigurationJson;
+import org.teaselwood.entry.http.JobJson;
+import org.teaselwood.entry.http.JsonFields;
+import org.teaselwood.model.Answer;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobSubmission;
+import org.teaselwood.protocol.message.ConfigurationChange;
+
+/**
+ * Calls entries over HTTP and blocks for the response. When an entry cannot be reached, or closes the connection before
+ * it has answered, the next one is called: every request of the front may be repeated, a submission because it carries
+ * its request key. Not thread-safe.
+ */
+public final class EntryClient implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 3_000;
+    private static final long REQUEST_TIMEOUT_MILLISECONDS = 90_000;
+    private static final int STATUS_CLIENT_ERROR = 400;
+    private static final int HEXADECIMAL = 16;
+
+    private final Vertx vertx;
+    private final boolean ownsVertx;
+    private final WebClient client;
+    private final List<String> servers;
+    private final Optional<String> token;
+    private int current;
+
+    /** A client with its own event loop. */
+    public EntryClient(ClientOptions options) {
+        this(Vertx.vertx(), true, options.servers(), options.token(), options.authorityFile());
+    }
+
+    /** A client on an event loop that others use too. */
+    public EntryClient(Vertx vertx, List<String> servers, Optional<String> token) {
+        this(vertx, false, servers, token, Optional.empty());
+    }
+
+    private EntryClient(
+            Vertx vertx, boolean ownsVertx, List<String> servers, Optional<String> token, Optional<String> authority) {
+        WebClientOptions options = new WebClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
+                .setFollowRedirects(false)
+                .setUserAgent("teaselwood");
+        authority.ifPresent(file -> options.setTrustOptions(new PemTrustOptions().addCertPath(file)));
+        this.vertx = vertx;
+        this.ownsVertx = ownsVertx;
+        this.client = WebClient.create(vertx, options);
+        this.servers = List.copyOf(servers);
+        this.token = token;
+    }
+
+    /** Submits a job. */
+    public JsonObject submit(JobSubmission submission) {
+        return json(HttpMethod.POST, "/v1/jobs", JobJson.of(submission));
+    }
+
+    /** The present state of a job. */
+    public JsonObject job(String job) {
+        return json(HttpMethod.GET, jobPath(job), null);
+    }
+
+    /** Waits for the final state, at most the given time; returns the present state after it. */
+    public JsonObject waitFor(String job, long timeoutMilliseconds) {
+        return json(HttpMethod.GET, jobPath(job) + "/wait?timeoutMilliseconds=" + timeoutMilliseconds, null);
+    }
+
+    /** Waits until the version of a job exceeds the given one, at most the given time. */
+    public JsonObject waitForChange(String job, long version, long timeoutMilliseconds) {
+        String query = "?until=change&version=" + version + "&timeoutMilliseconds=" + timeoutMilliseconds;
+        return json(HttpMethod.GET, jobPath(job) + "/wait" + query, null);
+    }
+
+    /** Cancels a job. */
+    public JsonObject cancel(String job) {
+        return json(HttpMethod.POST, jobPath(job) + "/cancel", null);
+    }
+
+    /** Explains a job. */
+    public JsonObject explain(String job) {
+        return json(HttpMethod.GET, jobPath(job) + "/explain", null);
+    }
+
+    /** The state of the region. */
+    public JsonObject region() {
+        return json(HttpMethod.GET, "/v1/region", null);
+    }
+
+    /** The configuration in force. */
+    public Configuration configuration() {
+        return ConfigurationJson.configurationOf(JsonFields.of(json(HttpMethod.GET, "/v1/configuration", null)));
+    }
+
+    /** Publishes a change, or only checks it; returns the configuration that it gives. */
+    public Configuration change(ConfigurationChange change, boolean dryRun) {
+        JsonObject reply = json(HttpMethod.POST, "/v1/configuration?dryRun=" + dryRun, ConfigurationJson.of(change));
+        return ConfigurationJson.configurationOf(JsonFields.of(reply));
+    }
+
+    /**
+     * The whole answer of a job.
+     *
+     * @throws org.teaselwood.model.TeaselwoodException of kind ANSWER_DAMAGED
+     */
+    public Answer answer(String job) {
+        HttpResponse<Buffer> response = send(HttpMethod.GET, jobPath(job) + "/answer", null);
+        Buffer body = response.body() == null ? Buffer.buffer() : response.body();
+        return Answer.verified(
+                body.getBytes(),
+                Integer.parseInt(response.getHeader("Teaselwood-Answer-Length")),
+                Integer.parseUnsignedInt(response.getHeader("Teaselwood-Answer-Crc32c"), HEXADECIMAL));
+    }
+
+    @Override
+    public void close() {
+        client.close();
+        if (ownsVertx) {
+            vertx.close();
+        }
+    }
+
+    private JsonObject json(HttpMethod method, String path, JsonObject body) {
+        return send(method, path, body).bodyAsJsonObject();
+    }
+
+    private HttpResponse<Buffer> send(HttpMethod method, String path, JsonObject body) {
+        CommandException last = null;
+        for (int tries = 0; tries < servers.size(); tries++) {
+            try {
+                return sendTo(servers.get(current), method, path, body);
+            } catch (CommandException exception) {
+                if (exception.code() != ExitCode.UNAVAILABLE) {
+                    throw exception;
+                }
+                last = exception;
+                current = (current + 1) % servers.size();
+            }
+        }
+        throw last;
+    }
+
+    private HttpResponse<Buffer> sendTo(String server, HttpMethod method, String path, JsonObject body) {
+        HttpRequest<Buffer> request = requestOf(server, method, path);
+        try {
+            HttpResponse<Buffer> response = (body == null ? request.send() : request.sendJsonObject(body))
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(REQUEST_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+            if (response.statusCode() >= STATUS_CLIENT_ERROR) {
+                throw refusalOf(response);
+            }
+            return response;
+        } catch (ExecutionException | TimeoutException exception) {
+            Throwable cause = exception.getCause() == null ? exception : exception.getCause();
+            throw new CommandException(ExitCode.UNAVAILABLE, server + " cannot be reached: " + cause.getMessage());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new CommandException(ExitCode.INTERNAL, "interrupted");
+        }
+    }
+
+    private HttpRequest<Buffer> requestOf(String server, HttpMethod method, String path) {
+        String base = server.endsWith("/") ? server.substring(0, server.length() - 1) : server;
+        try {
+            HttpRequest<Buffer> request = client.requestAbs(method, base + path).timeout(REQUEST_TIMEOUT_MILLISECONDS);
+            token.ifPresent(request::bearerTokenAuthentication);
+            return request;
+        } catch (RuntimeException exception) {
+            throw new CommandException(ExitCode.USAGE, "the address " + server + " is not valid");
+        }
+    }
+
+    private static CommandException refusalOf(HttpResponse<Buffer> response) {
+        try {
+            JsonObject problem = response.bodyAsJsonObject();
+            String code = problem.getString("errorKind");
+            ErrorKind kind = Arrays.stream(ErrorKind.values())
+                    .filter(candidate -> candidate.code().equals(code))
+                    .findFirst()
+                    .orElse(ErrorKind.INTERNAL);
+            String message =
+                    code + ": " + problem.getString("detail") + " (outcome: " + problem.getString("outcome") + ")";
+            return new CommandException(ExitCode.of(kind), message, problem);
+        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+            return new CommandException(ExitCode.UNAVAILABLE, "not an entry: HTTP status " + response.statusCode());
+        }
+    }
+
+    private static String jobPath(String job) {
+        if (!job.matches("[A-Za-z0-9._~-]+")) {
+            throw new CommandException(ExitCode.USAGE, job + " is not a job identifier");
+        }
+        return "/v1/jobs/" + job;
+    }
+}
--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/JobWaiter.java
@@ -0,0 +1,58 @@
+package org.teaselwood.cli;
+
+import io.vertx.core.json.JsonObject;
+import java.util.function.Consumer;
+
+/** Waits for the final state of a job by long polls, across restarts of entries. */
+public final class JobWaiter {
+    private static final long POLL_MILLISECONDS = 20_000;
+    private static final long PAUSE_MILLISECONDS = 500;
+
+    private final EntryClient client;
+    private final Consumer<JsonObject> observer;
+
+    /**
+     * A waiter.
+     *
+     * @param observer told every state that was read
+     */
+    public JobWaiter(EntryClient client, Consumer<JsonObject> observer) {
+        this.client = client;
+        this.observer = observer;
+    }
+
+    /**
+     * Waits for the final state.
+     *
+     * @param timeoutMilliseconds longest time
+     * @return the final state, or the present one after the timeout
+     * @throws CommandException with UNAVAILABLE if no entry can be reached until the timeout
+     */
+    public JsonObject waitFor(String job, long timeoutMilliseconds) {
+        long end = System.nanoTime() + timeoutMilliseconds * 1_000_000;
+        while (true) {
+            long rest = Math.max(0, (end - System.nanoTime()) / 1_000_000);
+            try {
+                JsonObject state = client.waitFor(job, Math.min(rest, POLL_MILLISECONDS));
+                observer.accept(state);
+                if (state.getBoolean("final") || rest == 0) {
+                    return state;
+                }
+            } catch (CommandException exception) {
+                if (exception.code() != ExitCode.UNAVAILABLE || rest == 0) {
+                    throw exception;
+                }
+                pause(Math.min(rest, PAUSE_MILLISECONDS));
+            }
+        }
+    }
+
+    private static void pause(long milliseconds) {
+        try {
+            Thread.sleep(milliseconds);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new CommandException(ExitCode.INTERNAL, "interrupted");
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/demo/Demo.java
@@ -0,0 +1,109 @@
+package org.teaselwood.cli.demo;
+
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.LongSummaryStatistics;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.teaselwood.cli.CommandException;
+import org.teaselwood.cli.Console;
+import org.teaselwood.cli.EntryClient;
+import org.teaselwood.cli.ExitCode;
+import org.teaselwood.cli.demo.DemoJob.Result;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.model.JobSubmission;
+
+/** Runs the Lab's jobs on a {@link LabCluster} and verifies every answer. */
+public final class Demo {
+    private final Console console;
+    private final LabFiles files;
+    private final int rounds;
+
+    /**
+     * A demo.
+     *
+     * @param rounds how many times each job of the Lab is submitted
+     */
+    public Demo(Console console, LabFiles files, int rounds) {
+        this.console = console;
+        this.files = files;
+        this.rounds = rounds;
+    }
+
+    /** Runs the demo; OK only if every answer is whole and right. */
+    public ExitCode run() {
+        try (LabCluster cluster = LabCluster.start(files);
+                EntryClient operator = cluster.operator()) {
+            console.line("fronts: " + String.join(", ", cluster.fronts()));
+            ClusterClients.awaitServers(operator, cluster.workers().size(), console::line);
+            Configuration configuration = ClusterClients.publish(operator, files.declarations());
+            console.line("published the Lab's declarations as revision " + configuration.revision());
+            List<Result> results = runJobs(cluster, configuration);
+            summarize(results, operator.region());
+            return results.stream().allMatch(Result::right) ? ExitCode.OK : ExitCode.FAILED;
+        }
+    }
+
+    private List<Result> runJobs(LabCluster cluster, Configuration configuration) {
+        List<JobSubmission> submissions = IntStream.range(0, rounds)
+                .boxed()
+                .flatMap(round -> LabFiles.JOBS.keySet().stream().map(files::submission))
+                .toList();
+        long begin = System.nanoTime();
+        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            List<Future<Result>> running = IntStream.range(0, submissions.size())
+                    .mapToObj(index -> executor.submit(() -> {
+                        JobSubmission submission = submissions.get(index);
+                        String front =
+                                cluster.fronts().get(index % cluster.fronts().size());
+                        try (EntryClient client = cluster.caller(submission.team(), List.of(front))) {
+                            return new DemoJob(client, submission, configuration, text -> show(begin, index, text))
+                                    .run();
+                        }
+                    }))
+                    .toList();
+            return running.stream().map(Demo::await).toList();
+        }
+    }
+
+    private void show(long begin, int index, String text) {
+        console.line(String.format("%6.2f s  job %d, %s", (System.nanoTime() - begin) / 1e9, index + 1, text));
+    }
+
+    private void summarize(List<Result> results, JsonObject region) {
+        Map<String, List<Result>> byTemplate =
+                results.stream().collect(Collectors.groupingBy(Result::template, TreeMap::new, Collectors.toList()));
+        byTemplate.forEach((template, ended) -> {
+            LongSummaryStatistics times =
+                    ended.stream().mapToLong(Result::completionMilliseconds).summaryStatistics();
+            console.line(String.format(
+                    "%-14s %d of %d answers whole and right; completion time %d ms on average, %d ms at most",
+                    template,
+                    ended.stream().filter(Result::right).count(),
+                    ended.size(),
+                    Math.round(times.getAverage()),
+                    times.getMax()));
+        });
+        results.stream()
+                .filter(result -> !result.right())
+                .forEach(result -> console.error(result.template() + ": " + result.detail()));
+        console.line(String.format("fragmentation %.1f %%", region.getDouble("fragmentation") * 100));
+    }
+
+    private static Result await(Future<Result> future) {
+        try {
+            return future.get();
+        } catch (ExecutionException exception) {
+            return new Result("unknown", false, 0, String.valueOf(exception.getCause()));
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new CommandException(ExitCode.INTERNAL, "interrupted");
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/demo/LabCluster.java
@@ -0,0 +1,144 @@
+package org.teaselwood.cli.demo;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.teaselwood.cli.CommandException;
+import org.teaselwood.cli.EntryClient;
+import org.teaselwood.cli.ExitCode;
+import org.teaselwood.entry.process.EntryAssembly;
+import org.teaselwood.entry.process.EntryProcess;
+import org.teaselwood.settings.EntrySettings;
+import org.teaselwood.settings.NetworkAddress;
+import org.teaselwood.settings.Secret;
+import org.teaselwood.standins.keyvalue.KeyValueStandIn;
+import org.teaselwood.standins.worker.WorkerStandIn;
+
+/**
+ * The Lab's deployment in one virtual machine: the key-value stand-in, one entry for each of three data centres, and 11
+ * agents, each beside a worker stand-in. Every instance talks to the others over loopback sockets only, as separate
+ * processes would. Settings come from the Lab's files; only the ports are replaced by free ones.
+ */
+public final class LabCluster implements AutoCloseable {
+    private static final long START_TIMEOUT_SECONDS = 20;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final KeyValueStandIn store = new KeyValueStandIn(vertx);
+    private final List<EntrySettings> settings;
+    private final List<EntryProcess> entries = new ArrayList<>();
+    private LabServers servers;
+
+    private LabCluster(LabFiles files) {
+        this.settings = files.entries();
+    }
+
+    /**
+     * Starts all instances.
+     *
+     * @throws CommandException with UNAVAILABLE if one cannot start
+     */
+    public static LabCluster start(LabFiles files) {
+        LabCluster cluster = new LabCluster(files);
+        try {
+            cluster.startAll(files);
+        } catch (RuntimeException exception) {
+            cluster.close();
+            throw exception;
+        }
+        return cluster;
+    }
+
+    /** Addresses of the fronts. */
+    public List<String> fronts() {
+        return entries.stream()
+                .map(entry -> "http://" + LabServers.LOOPBACK + ":" + entry.httpPort())
+                .toList();
+    }
+
+    /** A client with the operators' token for all fronts. */
+    public EntryClient operator() {
+        return new EntryClient(vertx, fronts(), token(settings.getFirst().operatorToken()));
+    }
+
+    /** A client with a team's token for the given fronts. */
+    public EntryClient caller(String team, List<String> fronts) {
+        return new EntryClient(
+                vertx,
+                fronts,
+                token(Optional.ofNullable(settings.getFirst().teamTokens().get(team))));
+    }
+
+    /** The entries. */
+    public List<EntryProcess> entries() {
+        return List.copyOf(entries);
+    }
+
+    /** The workers. */
+    public List<WorkerStandIn> workers() {
+        return servers.workers();
+    }
+
+    /** Stops everything at once. */
+    @Override
+    public void close() {
+        if (servers != null) {
+            servers.close();
+        }
+        entries.forEach(EntryProcess::closeNow);
+        await(vertx.close());
+    }
+
+    /**
+     * Waits for a step of the start.
+     *
+     * @throws CommandException with UNAVAILABLE if it fails
+     */
+    static <T> T await(Future<T> future) {
+        try {
+            return future.toCompletionStage().toCompletableFuture().get(START_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException exception) {
+            throw new CommandException(ExitCode.UNAVAILABLE, "an instance cannot start: " + exception.getMessage());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new CommandException(ExitCode.INTERNAL, "interrupted");
+        }
+    }
+
+    private void startAll(LabFiles files) {
+        int storePort = await(store.listen(0)).port();
+        settings.forEach(entry -> entries.add(await(EntryAssembly.start(vertx, placed(entry, storePort)))));
+        servers = await(LabServers.start(vertx, files.agents(), internalAddresses()));
+    }
+
+    private EntrySettings placed(EntrySettings given, int storePort) {
+        return new EntrySettings(
+                given.identifier(),
+                given.region(),
+                given.dataCentre(),
+                new NetworkAddress(LabServers.LOOPBACK, 0),
+                new NetworkAddress(LabServers.LOOPBACK, 0),
+                internalAddresses(),
+                given.sharedKey(),
+                given.operatorToken(),
+                given.teamTokens(),
+                List.of(new NetworkAddress(LabServers.LOOPBACK, storePort)),
+                given.keyValueTimeoutMilliseconds(),
+                given.tls(),
+                given.timings());
+    }
+
+    private List<NetworkAddress> internalAddresses() {
+        return entries.stream()
+                .map(entry -> new NetworkAddress(LabServers.LOOPBACK, entry.internalPort()))
+                .toList();
+    }
+
+    private static Optional<String> token(Optional<Secret> secret) {
+        return secret.map(Secret::value);
+    }
+}
--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The demo: a whole cluster in one process over loopback sockets. */
+package org.teaselwood.cli.demo;
--- /dev/null
+++ b/teaselwood-cli/src/test/java/org/teaselwood/cli/CommandLineTest.java
@@ -0,0 +1,69 @@
+package org.teaselwood.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.json.JsonObject;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards the exit codes that scripts of operators depend on. */
+class CommandLineTest {
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+    @TempDir
+    private Path directory;
+
+    @ParameterizedTest
+    @CsvSource({
+        "--help, OK",
+        "--version, OK",
+        "submit --help, OK",
+        "'', USAGE",
+        "nonsense, USAGE",
+        "answer, USAGE",
+        "submit --unknown-option, USAGE",
+        "submit, USAGE",
+        "status j/../x, USAGE",
+        "cancel j-1 --server http://127.0.0.1:1, UNAVAILABLE",
+        "status --server not-an-address, USAGE",
+        "entry --settings missing.ini, BAD_SETTINGS",
+        "check-settings missing.ini, BAD_SETTINGS",
+        "submit missing.ini, BAD_SETTINGS",
+        "explain j-1 --token-file missing, BAD_SETTINGS"
+    })
+    void every_use_ends_with_the_expected_exit_code(String arguments, ExitCode code) {
+        assertThat(run(arguments.isEmpty() ? new String[0] : arguments.split(" ")))
+                .isEqualTo(code);
+    }
+
+    @Test
+    void an_error_is_written_in_json_when_asked_for() {
+        run("status", "--json", "--server", "http://127.0.0.1:1");
+
+        assertThat(new JsonObject(errors.toString(StandardCharsets.UTF_8)).getString("detail"))
+                .contains("cannot be reached");
+        assertThat(output.size()).isEqualTo(0);
+    }
+
+    @Test
+    void each_fault_of_a_submission_file_is_told_with_its_line() throws Exception {
+        Path file = directory.resolve("job.ini");
+        Files.writeString(file, "[submission]\ntemplate = plan\ndeadline = soon\n[extra]\na = b\n");
+
+        assertThat(run("submit", file.toString())).isEqualTo(ExitCode.BAD_SETTINGS);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("job.ini:3: [submission] deadline");
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("job.ini:4: [extra]");
+    }
+
+    private ExitCode run(String... arguments) {
+        return new CommandLine(new Console(new PrintStream(output), new PrintStream(errors))).run(arguments);
+    }
+}
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/http/JobHandlers.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/JobHandlers.java
@@ -36,9 +36,9 @@
     }
 
     void submit(RoutingContext context) {
-        JobSubmission submission =
-                JobJson.submissionOf(JsonFields.of(context.body().buffer()));
         Principal principal = RequestHandlers.principal(context);
+        JobSubmission submission =
+                JobJson.submissionOf(JsonFields.of(context.body().buffer()), principal);
         if (!principal.mayActFor(submission.team())) {
             throw TeaselwoodException.of(ErrorKind.FORBIDDEN, "the token belongs to another team");
         }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/http/JobJson.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/JobJson.java
@@ -7,6 +7,7 @@
 import org.teaselwood.model.JobSubmission;
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.protocol.message.JobView;
+import org.teaselwood.protocol.message.Principal;
 
 /** Jobs and submissions in JSON. */
 public final class JobJson {
@@ -17,16 +18,18 @@
     private JobJson() {}
 
     /**
-     * A submission. A missing request key is made up here.
+     * A submission. A missing request key is made up here; a missing team is the caller's.
      *
      * @throws TeaselwoodException of kind BAD_REQUEST
      */
-    public static JobSubmission submissionOf(JsonFields fields) {
+    public static JobSubmission submissionOf(JsonFields fields, Principal principal) {
         JobSubmission submission = new JobSubmission(
                 fields.optionalText("requestKey")
                         .orElseGet(() -> UUID.randomUUID().toString()),
                 fields.optionalText("requestKey").isPresent(),
-                fields.text("team"),
+                principal.operator()
+                        ? fields.text("team")
+                        : fields.optionalText("team").orElse(principal.team()),
                 fields.text("template"),
                 fields.texts("parameters"),
                 fields.number("deadlineMilliseconds", 0, 0, MAXIMUM_DEADLINE_MILLISECONDS),
@@ -44,13 +47,13 @@
         return submission;
     }
 
-    /** A submission as the command line sends it. */
+    /** A submission as the command line sends it; an empty team leaves the choice to the token. */
     public static JsonObject of(JobSubmission submission) {
         JsonObject parameters = new JsonObject();
         submission.parameters().forEach(parameters::put);
         return new JsonObject()
                 .put("requestKey", submission.requestKey())
-                .put("team", submission.team())
+                .put("team", submission.team().isEmpty() ? null : submission.team())
                 .put("template", submission.template())
                 .put("parameters", parameters)
                 .put("deadlineMilliseconds", submission.deadlineMilliseconds())
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ConfigurationWatch.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ConfigurationWatch.java
@@ -43,6 +43,11 @@
         long opened = generation;
         metrics.storeCalled("Watch", true);
         watch = service.watch(PREFIX, new KeyValueService.WatchListener() {
+            @Override
+            public void opened() {
+                tellCore();
+            }
+
             @Override
             public void changed(List<KeyValue> changes, long revision) {
                 tellCore();
@@ -53,7 +58,6 @@
                 brokenWatch(opened, cause);
             }
         });
-        tellCore();
     }
 
     @Override
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryLinks.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryLinks.java
@@ -29,6 +29,8 @@
 final class EntryLinks {
     private static final Logger LOGGER = LoggerFactory.getLogger(EntryLinks.class);
 
+    private static final long HANDSHAKE_MILLISECONDS = 3_000;
+
     private final Vertx vertx;
     private final InternalSettings settings;
     private final SharedKey key;
@@ -44,7 +46,7 @@
     EntryLinks(Vertx vertx, InternalSettings settings, EntryMetrics metrics) {
         this.vertx = vertx;
         this.settings = settings;
-        this.key = new SharedKey(settings.sharedKey());
+        this.key = settings.sharedKey();
         this.metrics = metrics;
         metrics.counter(
                 "control.bytes", "sent", this, links -> links.bytes(closedBytesSent, MessageConnection::bytesSent));
@@ -99,7 +101,7 @@
     /** Opens a connection to another entry. */
     void connect(EntryAddress address) {
         client.connect(address.port(), address.host())
-                .onSuccess(socket -> MessageConnection.connect(socket, key, new Link(address)))
+                .onSuccess(socket -> limitHandshake(MessageConnection.connect(socket, key, new Link(address))))
                 .onFailure(exception -> {
                     LOGGER.debug("entry {} cannot be reached: {}", address, exception.toString());
                     sink.deliver(new EntryEvent.ConnectFailed(address));
@@ -118,7 +120,16 @@
             socket.close();
             return;
         }
-        MessageConnection.accept(socket, key, new Link(null));
+        limitHandshake(MessageConnection.accept(socket, key, new Link(null)));
+    }
+
+    /** A peer that does not finish the handshake must not keep its connection. */
+    private void limitHandshake(MessageConnection connection) {
+        vertx.setTimer(HANDSHAKE_MILLISECONDS, ignored -> {
+            if (!connection.isOpen()) {
+                connection.close();
+            }
+        });
     }
 
     private double bytes(AtomicLong closed, ToLongFunction<MessageConnection> count) {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
@@ -100,6 +100,13 @@
         return stopped;
     }
 
+    /** Stops at once, as if the process were killed: requests are cut and nobody is told. */
+    public void closeNow() {
+        sink.close();
+        watch.close();
+        links.close();
+    }
+
     private Future<List<EntryAddress>> registeredEntries(int port) {
         internalPort = port;
         return Future.fromCompletionStage(
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/InternalSettings.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/InternalSettings.java
@@ -5,6 +5,7 @@
 import io.vertx.core.net.PemTrustOptions;
 import java.util.Optional;
 import org.teaselwood.entry.http.HttpSettings.ServerCertificate;
+import org.teaselwood.protocol.SharedKey;
 
 /**
  * Settings of the connections between our own processes. Immutable.
@@ -14,7 +15,7 @@
  * @param sharedKey key that all processes of the deployment share
  * @param tls certificates; plain TCP without
  */
-public record InternalSettings(String host, int port, String sharedKey, Optional<InternalTls> tls) {
+public record InternalSettings(String host, int port, SharedKey sharedKey, Optional<InternalTls> tls) {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 2_000;
 
     /**
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/process/HttpFrontTest.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/process/HttpFrontTest.java
@@ -29,6 +29,7 @@
 import org.teaselwood.model.Configuration;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.JobState;
+import org.teaselwood.protocol.SharedKey;
 import org.teaselwood.protocol.message.FrontReply;
 import org.teaselwood.protocol.message.FrontRequest;
 
@@ -51,7 +52,7 @@
                 "entry-1",
                 "trinidad",
                 "arima",
-                new InternalSettings("127.0.0.1", 0, "key", Optional.empty()),
+                new InternalSettings("127.0.0.1", 0, SharedKey.withoutSecret(), Optional.empty()),
                 new HttpSettings("127.0.0.1", 0, 4_096, 500, Optional.empty(), tokens),
                 Duration.ofMillis(100),
                 Duration.ofMillis(100));
