Name the configuration messages in the entry core

Cause: the switch over the messages between entries was not exhaustive after the configuration messages came in. Change: both are named and ignored until the configuration core is plugged in. Conclusion: the workspace builds again.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -179,6 +179,8 @@
                 placer.mirror().acknowledged(entry, acknowledged);
             case EntryMessage.JobRecord ignored -> {}
             case EntryMessage.KeyClaim ignored -> {}
+            case EntryMessage.ConfigurationRequest ignored -> {}
+            case EntryMessage.ConfigurationDocument ignored -> {}
         }
     }
 
