--- a/teaselwood-agent/src/test/java/org/teaselwood/agent/FakeEntry.java
+++ b/teaselwood-agent/src/test/java/org/teaselwood/agent/FakeEntry.java
@@ -42,6 +42,11 @@
         answersHeartbeats = false;
     }
 
+    /** Drops what was received. */
+    void clear() {
+        received.clear();
+    }
+
     void send(AgentCommand command) {
         connection.send(command);
     }
