Check the example guarantees with the policy

Cause: the first change of a deployment is refused when its guarantees cannot be packed, and so far the examples were only checked for names and values.

--- /dev/null
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/configuration/ExampleGuaranteesTest.java
@@ -0,0 +1,36 @@
+package org.teaselwood.entry.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.teaselwood.model.Configuration;
+import org.teaselwood.policy.GuaranteeScheduler;
+import org.teaselwood.policy.PolicyEvent;
+import org.teaselwood.policy.Scheduler;
+import org.teaselwood.settings.AgentSettings;
+import org.teaselwood.store.declaration.Declarations;
+
+/** Tests of the guarantees below {@code examples/} with the policy's own check. */
+class ExampleGuaranteesTest {
+    /** Guards against examples that the first change would be refused for. */
+    @ParameterizedTest
+    @ValueSource(strings = {"lab", "cooperativa"})
+    void the_guarantees_of_a_deployment_can_all_be_packed_on_its_servers(String deployment) throws IOException {
+        Path directory = Path.of("..", "examples", deployment);
+        Scheduler scheduler = new GuaranteeScheduler();
+        try (Stream<Path> agents = Files.list(directory.resolve("agents"))) {
+            agents.sorted()
+                    .forEach(path -> scheduler.handle(
+                            new PolicyEvent.ServerJoined(
+                                    AgentSettings.read(path).server()),
+                            0));
+        }
+        Configuration configuration = Declarations.read(directory.resolve("declarations.ini"));
+        assertDoesNotThrow(() -> scheduler.checkGuarantees(configuration));
+    }
+}
