Answer requests until callers have left before an entry stops listening

Cause: under load, a stopping entry closed new connections unanswered: the HTTP server of the library does so as soon as its shutdown begins. Change: from the failing of /readyz every response carries Connection: close; the front stops listening when it has been quiet for 0.5 s, at most 5 s after the last response. The grace after /readyz is 2 s, two probes of a balancer.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/http/HttpFront.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/HttpFront.java
@@ -9,7 +9,6 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.teaselwood.entry.metrics.EntryMetrics;
@@ -22,7 +21,9 @@
  */
 public final class HttpFront {
     private static final int SUBMIT_BODY_LIMIT_BYTES = 64 * 1024;
-    private static final long CLOSE_TIMEOUT_SECONDS = 10;
+    private static final long QUIET_MILLISECONDS = 500;
+    private static final long QUIET_LIMIT_MILLISECONDS = 5_000;
+    private static final long POLL_MILLISECONDS = 20;
     private static final int STATUS_NOT_FOUND = 404;
     private static final int STATUS_METHOD_NOT_ALLOWED = 405;
 
@@ -31,6 +32,7 @@
     private final CoreGateway gateway;
     private final EntryMetrics metrics;
     private final AtomicInteger openRequests = new AtomicInteger();
+    private volatile long lastRequestNanoseconds = System.nanoTime();
     private HttpServer server;
 
     /** A front that is not yet listening. */
@@ -58,9 +60,23 @@
         return openRequests.get();
     }
 
-    /** Stops listening; responses under way are written whole first. */
+    /**
+     * Stops listening when every response is written and no request has arrived for half a second, or at the latest
+     * 5 s after the last response. The library closes new connections unanswered once it stops listening, so the front
+     * keeps answering until the callers have gone to other entries.
+     */
     public Future<Void> close() {
-        return server == null ? Future.succeededFuture() : server.shutdown(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return server == null ? Future.succeededFuture() : quiet(0).compose(ignored -> server.close());
+    }
+
+    private Future<Void> quiet(long waitedMilliseconds) {
+        long sinceLast = (System.nanoTime() - lastRequestNanoseconds) / 1_000_000;
+        boolean idle = openRequests.get() == 0;
+        if (idle && (sinceLast >= QUIET_MILLISECONDS || waitedMilliseconds >= QUIET_LIMIT_MILLISECONDS)) {
+            return Future.succeededFuture();
+        }
+        return vertx.timer(POLL_MILLISECONDS)
+                .compose(ignored -> quiet(idle ? waitedMilliseconds + POLL_MILLISECONDS : waitedMilliseconds));
     }
 
     private Router router() {
@@ -134,6 +150,7 @@
     private void track(RoutingContext context) {
         openRequests.incrementAndGet();
         long begin = System.nanoTime();
+        lastRequestNanoseconds = begin;
         context.addHeadersEndHandler(ignored -> {
             if (gateway.readiness().leaving()) {
                 context.response().putHeader(HttpHeaders.CONNECTION, "close");
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
@@ -22,7 +22,6 @@
  */
 public final class EntryProcess {
     private static final Logger LOGGER = LoggerFactory.getLogger(EntryProcess.class);
-    private static final long POLL_MILLISECONDS = 20;
     private static final long REPORT_MILLISECONDS = 5_000;
 
     private final Vertx vertx;
@@ -139,16 +138,7 @@
         long reporter = vertx.setPeriodic(
                 REPORT_MILLISECONDS,
                 ignored -> LOGGER.info("entry {} still has {} open requests", settings.entry(), front.openRequests()));
-        return drained.future()
-                .compose(ignored -> responsesWritten())
-                .onComplete(ignored -> vertx.cancelTimer(reporter));
-    }
-
-    private Future<Void> responsesWritten() {
-        if (front.openRequests() == 0) {
-            return Future.succeededFuture();
-        }
-        return vertx.timer(POLL_MILLISECONDS).mapEmpty().compose(ignored -> responsesWritten());
+        return drained.future().onComplete(ignored -> vertx.cancelTimer(reporter));
     }
 
     private Future<Void> close() {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ProcessSettings.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ProcessSettings.java
@@ -26,6 +26,6 @@
     /** Default of {@link #storeTimeout}: the service answers in milliseconds; a slow answer counts as an outage. */
     public static final Duration DEFAULT_STORE_TIMEOUT = Duration.ofSeconds(2);
 
-    /** Default of {@link #readinessGrace}. */
-    public static final Duration DEFAULT_READINESS_GRACE = Duration.ofSeconds(1);
+    /** Default of {@link #readinessGrace}: two probes of a balancer that asks every second. */
+    public static final Duration DEFAULT_READINESS_GRACE = Duration.ofSeconds(2);
 }
