Plug the configuration core into the entry core

Cause: changes were refused with NOT_READY and no entry read the configuration. Change: ConfigurationDesk connects the configuration core with the store, the peers, the agents' reported revisions and readiness; the placer carries out changes, because only it knows the servers on which guarantees must be packed.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryContext.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryContext.java
@@ -13,6 +13,8 @@
     private boolean leaving;
     private Configuration configuration = Configuration.EMPTY;
     private Term highestTerm = Term.NONE;
+    /** Why the configuration does not allow the entry to serve, empty when it does. */
+    private String configurationProblem = "no configuration has been read yet";
 
     /** A context before the first event. */
     public EntryContext(EntryCoreSettings settings, EntryEffects effects) {
@@ -71,9 +73,19 @@
         return settings.epochMilliseconds() + now;
     }
 
-    /** Whether the time for looking for other entries after the start has passed. */
+    void configurationProblem(String problem) {
+        configurationProblem = problem;
+    }
+
+    /** Whether the entry may serve. */
     public boolean ready() {
-        return now - startedAt >= timings().startMilliseconds();
+        return notReadyReason().isEmpty();
+    }
+
+    /** Why the entry may not serve, empty when it may. */
+    String notReadyReason() {
+        boolean started = now - startedAt >= timings().startMilliseconds();
+        return started ? configurationProblem : "looking for other entries";
     }
 
     /**
@@ -82,7 +94,7 @@
      */
     public boolean eligible() {
         long waiting = timings().startMilliseconds() + timings().heartbeatMilliseconds();
-        return now - startedAt > waiting && !leaving;
+        return now - startedAt > waiting && configurationProblem.isEmpty() && !leaving;
     }
 
     /** Whether the process was asked to stop. */
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -26,6 +26,7 @@
     private final AgentRelay relay;
     private final Placer placer;
     private final FrontDesk desk;
+    private final ConfigurationDesk configuration;
     /** Connections of agents. */
     private final Set<Long> agentLinks = new HashSet<>();
 
@@ -39,7 +40,9 @@
         membership = new Membership(context);
         outbox = new Outbox(context, membership);
         relay = new AgentRelay(context, outbox, membership);
-        placer = new Placer(context, outbox, membership, scheduler, this::replyTo);
+        placer = new Placer(context, outbox, membership, scheduler, this::replyTo, this::changeConfiguration);
+        configuration = new ConfigurationDesk(
+                context, outbox, membership, this::replyTo, this::apply, scheduler::checkGuarantees);
         desk = new FrontDesk(context, outbox, membership, placer);
     }
 
@@ -59,7 +62,7 @@
             case EntryEvent.FrontRequested requested -> requested(requested.token(), requested.request());
             case EntryEvent.FrontAbandoned abandoned -> desk.abandoned(abandoned.token());
             case EntryEvent.StoreReplied replied -> context.store().replied(replied.token(), replied.reply());
-            case EntryEvent.ConfigurationMayHaveChanged ignored -> {}
+            case EntryEvent.ConfigurationMayHaveChanged ignored -> configuration.mayHaveChanged();
             case EntryEvent.ShutdownRequested ignored -> leave();
             case EntryEvent.Tick ignored -> tick();
         }
@@ -67,12 +70,10 @@
     }
 
     /** Puts a configuration in force if its revision is higher than that of the present one. */
-    public void applyConfiguration(Configuration configuration, long nowMilliseconds) {
+    public void applyConfiguration(Configuration newer, long nowMilliseconds) {
         context.advance(nowMilliseconds);
-        if (configuration.revision() > context.configuration().revision()) {
-            context.apply(configuration);
-            relay.configurationChanged();
-            placer.configurationChanged();
+        if (newer.revision() > context.configuration().revision()) {
+            apply(newer);
             settle();
         }
     }
@@ -82,8 +83,20 @@
         return placer.role() == Placer.Role.ACTIVE;
     }
 
+    private void apply(Configuration newer) {
+        context.apply(newer);
+        relay.configurationChanged();
+        placer.configurationChanged();
+    }
+
+    private void changeConfiguration(Requester requester, FrontRequest.ChangeConfiguration request) {
+        configuration.change(requester, request);
+    }
+
     private void tick() {
         context.store().tick(context.now());
+        configuration.tick();
+        context.configurationProblem(configuration.notReadyReason().orElse(""));
         if (membership.tick()) {
             relay.entriesChanged();
         }
@@ -136,6 +149,9 @@
             case AgentMessage agentMessage
             when membership.entryOf(link).isEmpty() -> {
                 agentLinks.add(link);
+                if (agentMessage instanceof AgentMessage.AgentHello hello) {
+                    configuration.agentReported(hello.configurationRevision());
+                }
                 relay.received(link, agentMessage);
             }
             default -> context.effects().closeLink(link);
@@ -179,8 +195,8 @@
                 placer.mirror().acknowledged(entry, acknowledged);
             case EntryMessage.JobRecord ignored -> {}
             case EntryMessage.KeyClaim ignored -> {}
-            case EntryMessage.ConfigurationRequest ignored -> {}
-            case EntryMessage.ConfigurationDocument ignored -> {}
+            case EntryMessage.ConfigurationRequest request -> configuration.peerMessage(entry, request);
+            case EntryMessage.ConfigurationDocument document -> configuration.peerMessage(entry, document);
         }
     }
 
@@ -195,13 +211,11 @@
         switch (request) {
             case FrontRequest.QueryConfiguration ignored ->
                 context.effects().reply(token, new FrontReply.ConfigurationReply(context.configuration()));
-            case FrontRequest.ChangeConfiguration ignored ->
-                context.effects().reply(token, Refused.of(ErrorKind.NOT_READY, "configuration changes"));
             default -> {
                 if (context.ready()) {
                     desk.requested(token, request);
                 } else {
-                    context.effects().reply(token, Refused.of(ErrorKind.NOT_READY, "looking for other entries"));
+                    context.effects().reply(token, Refused.of(ErrorKind.NOT_READY, context.notReadyReason()));
                 }
             }
         }
@@ -220,7 +234,8 @@
         if (ready != announcedReady) {
             announcedReady = ready;
             membership.announce();
-            context.effects().readinessChanged(ready, ready ? "" : "stopping");
+            String reason = context.leaving() ? "stopping" : context.notReadyReason();
+            context.effects().readinessChanged(ready, reason);
         }
     }
 
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BiConsumer;
 import org.teaselwood.entry.core.EntryContext;
 import org.teaselwood.entry.core.Outbox;
 import org.teaselwood.entry.core.Requester;
@@ -41,6 +42,9 @@
     private final JobMirror mirror;
     private final PlacerState state;
     private final RegionWork work;
+    /** Carries out changes of the configuration. */
+    private final BiConsumer<Requester, FrontRequest.ChangeConfiguration> changes;
+
     private final Deque<Queued> queued = new ArrayDeque<>();
     private final Set<String> unanswered = new TreeSet<>();
 
@@ -72,7 +76,14 @@
     }
 
     /** A placer that is passive. */
-    public Placer(EntryContext context, Outbox outbox, Membership membership, Scheduler scheduler, Replies replies) {
+    public Placer(
+            EntryContext context,
+            Outbox outbox,
+            Membership membership,
+            Scheduler scheduler,
+            Replies replies,
+            BiConsumer<Requester, FrontRequest.ChangeConfiguration> changes) {
+        this.changes = changes;
         this.context = context;
         this.outbox = outbox;
         this.membership = membership;
@@ -108,7 +119,7 @@
      */
     public boolean request(Requester requester, FrontRequest request) {
         if (role == Role.ACTIVE) {
-            work.request(requester, request);
+            carryOut(requester, request);
         } else if (role == Role.COLLECTING) {
             queue(requester, request);
         }
@@ -288,7 +299,7 @@
         work.begin(copy);
         List<Queued> requests = List.copyOf(queued);
         queued.clear();
-        requests.forEach(request -> work.request(request.requester(), request.request()));
+        requests.forEach(request -> carryOut(request.requester(), request.request()));
     }
 
     private void deactivate() {
@@ -305,6 +316,14 @@
         requests.forEach(request -> state.reply(request.requester(), Refused.of(ErrorKind.NO_PLACER)));
     }
 
+    private void carryOut(Requester requester, FrontRequest request) {
+        if (request instanceof FrontRequest.ChangeConfiguration change) {
+            changes.accept(requester, change);
+        } else {
+            work.request(requester, request);
+        }
+    }
+
     private void queue(Requester requester, FrontRequest request) {
         queued.removeIf(earlier -> earlier.requester().equals(requester));
         if (queued.size() >= MAXIMUM_QUEUED) {
