Close what random failures found in the entry core

Cause: a fuzzing test over entries, agents and the key-value service found jobs that ran twice, were stuck or lost their answers.

Change: a placer that steps down drops its open writes, so that it accepts no job any more; success without a written answer is copied to the standby as unfinished, and the traces at the agents are kept until the record says more; a starting mark that a new placer does not know is never overwritten; a policy that is told to forget keeps no attempt; the newest connection to an entry is used and a silent one is closed; a relay tells the placer when it does not know an agent.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/StoreClient.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/StoreClient.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.teaselwood.model.TeaselwoodException;
 
 /** Connects replies of the key-value service to the calls they answer, and notes whether the service answers. */
 public final class StoreClient {
@@ -42,7 +43,12 @@
             return;
         }
         reachable = !(reply instanceof StoreReply.Unavailable);
-        consumer.accept(reply);
+        try {
+            consumer.accept(reply);
+        } catch (TeaselwoodException exception) {
+            // A value that another program damaged must not stop the entry.
+            effects.logged("a value of the key-value service cannot be used: " + exception.getMessage(), "", "");
+        }
     }
 
     void tick(long now) {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/Job.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/Job.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.teaselwood.model.ErrorAnswer;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.JobIdentifier;
@@ -42,6 +43,7 @@
     private int answerLength = -1;
     private int answerChecksum;
     private int progress;
+    private String lastFailure = "";
 
     /** Revision of the record in the key-value service, 0 when there is none. */
     private long storeRevision;
@@ -85,7 +87,28 @@
 
     /** The record of the present state. */
     public JobRecord record(Term term, String writer) {
-        JobState recorded = state.isFinal() || state == JobState.QUEUED ? state : JobState.STARTING;
+        return record(term, writer, state.isFinal() || state == JobState.QUEUED ? state : JobState.STARTING);
+    }
+
+    /**
+     * The record for a copy that has no answers. Success counts as such only after the answer was written; before, a
+     * new placer fetches the answer from the agents. A short request that finished is not copied: its caller repeats it
+     * when the answer is lost.
+     */
+    public Optional<JobRecord> mirrored(Term term, String writer) {
+        if (state.isFinal() && !recorded()) {
+            return Optional.empty();
+        }
+        boolean unwritten = state == JobState.SUCCEEDED && !written();
+        return Optional.of(unwritten ? record(term, writer, JobState.STARTING) : record(term, writer));
+    }
+
+    /** Whether the present state is in the key-value service, or never will be. */
+    public boolean written() {
+        return !recorded() || storedVersion >= version;
+    }
+
+    private JobRecord record(Term term, String writer, JobState recorded) {
         return new JobRecord(
                 identifier,
                 region,
@@ -218,6 +241,16 @@
         progress = percent;
     }
 
+    /** Notes why the newest attempt ended. */
+    public void failedWith(String failure) {
+        lastFailure = failure;
+    }
+
+    /** Why the newest attempt ended, empty for no reason known. */
+    public String lastFailure() {
+        return lastFailure;
+    }
+
     /** Whether the job is written to the key-value service: all but repeatable short requests are. */
     public boolean recorded() {
         return template.kind() == WorkKind.JOB || !submission.repeatable();
@@ -235,6 +268,15 @@
         }
     }
 
+    /** Whether a record shows a starting mark of an attempt that is not the one known here. */
+    public boolean markedOtherwise(JobRecord record) {
+        return !repeatable()
+                && !state.isFinal()
+                && record.state() == JobState.STARTING
+                && record.attempt() > 0
+                && record.attempt() != markedAttempt;
+    }
+
     private Outcome outcome() {
         return switch (state) {
             case QUEUED, STARTING, RUNNING, STOPPING -> Outcome.PENDING;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobMirror.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobMirror.java
@@ -22,6 +22,7 @@
 public final class JobMirror {
     private static final int MESSAGE_BYTES = 256 * 1024;
     private static final int RECORD_BYTES = 2_048;
+    private static final long OUTDATED_MILLISECONDS = 30_000;
 
     private final EntryContext context;
     private final Outbox outbox;
@@ -29,6 +30,7 @@
     private final Map<JobIdentifier, JobRecord> copy = new TreeMap<>();
 
     private Term copyTerm = Term.NONE;
+    private long copiedAt;
 
     private Term term = Term.NONE;
     private String standby = "";
@@ -132,6 +134,7 @@
             return;
         }
         copyTerm = change.term();
+        copiedAt = context.now();
         if (change.reset()) {
             copy.clear();
         }
@@ -148,10 +151,19 @@
     /** Keeps records as if a placer of the term had sent them, so that they outlive this entry's own term. */
     public void keep(Term ownTerm, Collection<JobRecord> records) {
         copyTerm = ownTerm;
+        copiedAt = context.now();
         copy.clear();
         records.forEach(record -> copy.put(record.job(), record));
     }
 
+    /** Drops a copy that a placer of a higher term has not renewed, because its standby is another entry. */
+    public void tick() {
+        boolean outdated = copyTerm.compareTo(context.highestTerm()) < 0;
+        if (outdated && !copy.isEmpty() && context.now() - copiedAt >= OUTDATED_MILLISECONDS) {
+            copy.clear();
+        }
+    }
+
     /** Drops the copy. */
     public void dropCopy() {
         copy.clear();
@@ -164,7 +176,8 @@
         List<Job> mirrored =
                 jobs.stream().filter(job -> job.accepted() || job.repeatable()).toList();
         for (Job job : mirrored) {
-            batch.add(job.record(term, context.settings().incarnation()));
+            job.mirrored(term, context.settings().incarnation())
+                    .ifPresentOrElse(batch::add, () -> removed.add(job.identifier()));
             bytes += RECORD_BYTES + Outbox.textBytes(job.submission().parameters());
             if (bytes >= MESSAGE_BYTES) {
                 deliver(first, batch);
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobStore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobStore.java
@@ -58,6 +58,13 @@
         retries.clear();
     }
 
+    /** Drops what was not sent; replies to what was sent are ignored, so that a job is not accepted any more. */
+    public void end() {
+        open.clear();
+        retries.clear();
+        batcher.clear();
+    }
+
     /** Writes the present state of a job, and its answer when there is one. */
     public void save(Job job, Optional<Answer> answer) {
         if (!job.recorded()) {
@@ -133,7 +140,8 @@
             boolean newer = value.value()
                     .map(found -> JobKeys.decode(found.value(), JobRecord.class))
                     .filter(record -> record.version() > writing.job.version()
-                            || record.state().isFinal() && !writing.job.state().isFinal())
+                            || record.state().isFinal() && !writing.job.state().isFinal()
+                            || writing.job.markedOtherwise(record))
                     .isPresent();
             if (newer) {
                 open.remove(writing.job.identifier());
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobTable.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobTable.java
@@ -128,7 +128,7 @@
                 break;
             }
             Job job = jobs.get(entry.getKey());
-            if (!job.recorded() || job.storedVersion() >= job.version()) {
+            if (job.written()) {
                 readable.add(entry.getKey());
                 excess -= entry.getValue().length();
             }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/TransactionBatcher.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/TransactionBatcher.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.teaselwood.entry.core.EntryContext;
 import org.teaselwood.entry.core.StoreCall;
 import org.teaselwood.entry.core.StoreReply;
@@ -30,6 +31,9 @@
     private final EntryContext context;
     private final Deque<Write> queue = new ArrayDeque<>();
     private int open;
+    /** Rises when everything is dropped, so that later replies are ignored. */
+    private long epoch;
+
     private long calledAt = Long.MIN_VALUE;
     private long retryAt = Long.MIN_VALUE;
 
@@ -93,6 +97,13 @@
         queue.add(write);
     }
 
+    /** Drops all writes; those that were sent may still take effect. */
+    public void clear() {
+        queue.clear();
+        open = 0;
+        epoch++;
+    }
+
     /** Whether nothing is waiting or open. */
     public boolean idle() {
         return queue.isEmpty() && open == 0;
@@ -135,17 +146,24 @@
         return batch;
     }
 
-    private void transact(List<Write> batch) {
+    private void call(StoreCall call, Consumer<StoreReply> consumer) {
         open++;
+        long called = epoch;
+        context.store().call(call, reply -> {
+            if (called == epoch) {
+                open--;
+                consumer.accept(reply);
+            }
+        });
+    }
+
+    private void transact(List<Write> batch) {
         List<KeyValueCondition> conditions =
                 batch.stream().flatMap(write -> write.conditions.stream()).toList();
         List<KeyValueOperation> operations =
                 batch.stream().flatMap(write -> write.operations.stream()).toList();
         StoreCall call = new StoreCall.Transact(new KeyValueTransaction(conditions, operations));
-        context.store().call(call, reply -> {
-            open--;
-            transacted(batch, reply);
-        });
+        call(call, reply -> transacted(batch, reply));
     }
 
     private void transacted(List<Write> batch, StoreReply reply) {
@@ -178,9 +196,7 @@
     }
 
     private void read(Write write) {
-        open++;
-        context.store().call(new StoreCall.Get(write.key), reply -> {
-            open--;
+        call(new StoreCall.Get(write.key), reply -> {
             if (reply instanceof StoreReply.Value value) {
                 compare(write, value.value());
             } else {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Membership.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Membership.java
@@ -23,6 +23,12 @@
     /** A seed that is not the address of a known entry is tried at this interval, so that separated groups meet. */
     private static final long SEED_RETRY_MILLISECONDS = 10_000;
 
+    /** The ranking is asked for with every event and is computed again after this time. */
+    private static final long RANKING_MILLISECONDS = 20;
+
+    /** A connection over which nothing came for this many suspicion times is closed, because its peer may be gone. */
+    private static final int DEAD_LINK_SUSPICIONS = 3;
+
     private static final long FORGET_MILLISECONDS = 10 * 60 * 1000;
 
     private final EntryContext context;
@@ -32,6 +38,8 @@
     /** Earliest time of the next connection to an address, by host and port. */
     private final Map<String, Long> retryAt = new TreeMap<>();
 
+    private List<String> ranking = List.of();
+    private long rankedAt = Long.MIN_VALUE;
     private long heartbeatAt = Long.MIN_VALUE;
     private List<EntryAddress> announced = List.of();
 
@@ -59,16 +67,15 @@
             return false;
         }
         Peer peer = peers.computeIfAbsent(entry, name -> new Peer(message.address(), context.now()));
-        boolean known = !peer.links().isEmpty();
-        peer.greeted(message, link, context.now());
+        peer.greeted(message, link, context.now()).forEach(context.effects()::closeLink);
         entryOfLink.put(link, entry);
         if (!openedHere.contains(link)) {
             context.effects().send(link, hello());
         }
         context.effects().send(link, heartbeat());
         context.effects().send(link, new EntryMessage.KnownEntries(addresses()));
-        if (known && context.self().compareTo(entry) < 0) {
-            peer.links().stream().skip(1).toList().forEach(context.effects()::closeLink);
+        if (context.self().compareTo(entry) < 0) {
+            peer.links().stream().filter(open -> open != link).toList().forEach(context.effects()::closeLink);
         }
         return true;
     }
@@ -78,6 +85,7 @@
         Peer peer = peers.get(entry);
         if (peer != null) {
             peer.heard(message, context.now());
+            rankedAt = Long.MIN_VALUE;
             context.observeTerm(message.term());
         }
     }
@@ -114,6 +122,12 @@
             announce();
         }
         peers.values().removeIf(peer -> peer.links().isEmpty() && context.now() - peer.heardAt() > FORGET_MILLISECONDS);
+        long dead = DEAD_LINK_SUSPICIONS * context.timings().suspicionMilliseconds();
+        peers.values().stream()
+                .filter(peer -> context.now() - peer.heardAt() >= dead)
+                .flatMap(peer -> List.copyOf(peer.links()).stream())
+                .toList()
+                .forEach(context.effects()::closeLink);
         peers.values().stream()
                 .filter(peer -> peer.links().isEmpty())
                 .map(Peer::address)
@@ -142,6 +156,7 @@
     /** Sends a heartbeat to every peer now. */
     public void announce() {
         heartbeatAt = context.now();
+        rankedAt = Long.MIN_VALUE;
         EntryMessage.EntryHeartbeat message = heartbeat();
         peers.values()
                 .forEach(peer -> peer.link().ifPresent(link -> context.effects().send(link, message)));
@@ -178,6 +193,14 @@
 
     /** Entries that may be placer, the first being the placer and the second its standby. */
     public List<String> ranking() {
+        if (context.now() - RANKING_MILLISECONDS >= rankedAt) {
+            rankedAt = context.now();
+            ranking = rank();
+        }
+        return ranking;
+    }
+
+    private List<String> rank() {
         Stream<String> self = context.eligible() ? Stream.of(context.self()) : Stream.empty();
         Stream<String> others = peers.entrySet().stream()
                 .filter(entry -> isAlive(entry.getValue()) && entry.getValue().eligible())
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Peer.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Peer.java
@@ -1,6 +1,7 @@
 package org.teaselwood.entry.membership;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
@@ -9,7 +10,7 @@
 /** Another entry of the region, as this entry observes it. */
 final class Peer {
     private EntryAddress address;
-    /** Open connections in the order of their handshakes; the first is used for sending. */
+    /** Open connections in the order of their handshakes; the newest is used for sending, an older one may be dead. */
     private final Set<Long> links = new LinkedHashSet<>();
 
     private String incarnation = "";
@@ -24,15 +25,20 @@
         this.heardAt = now;
     }
 
-    void greeted(EntryMessage.EntryHello hello, long link, long now) {
+    /** Notes a hello. Returns the connections of an earlier incarnation, which are dead. */
+    List<Long> greeted(EntryMessage.EntryHello hello, long link, long now) {
+        List<Long> dead = List.of();
         if (!incarnation.equals(hello.incarnation())) {
             heartbeat = null;
+            dead = List.copyOf(links);
         }
+        links.remove(link);
         address = hello.address();
         incarnation = hello.incarnation();
         links.add(link);
         generation++;
         heardAt = now;
+        return dead;
     }
 
     void heard(EntryMessage.EntryHeartbeat message, long now) {
@@ -50,7 +56,7 @@
     }
 
     Optional<Long> link() {
-        return links.stream().findFirst();
+        return links.stream().reduce((older, newer) -> newer);
     }
 
     EntryAddress address() {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Attempt.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Attempt.java
@@ -116,7 +116,7 @@
 
     /** Whether any part may have run. */
     boolean mayHaveRun() {
-        return parts.stream().anyMatch(part -> part.started() || part.lost() && startSent);
+        return parts.stream().anyMatch(part -> part.started() || startSent && (part.lost() || part.phase() == null));
     }
 
     boolean spansServers() {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/JobLifecycle.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/JobLifecycle.java
@@ -255,6 +255,7 @@
                         : AttemptResult.REFUSED;
         if (ran) {
             job.uncertain();
+            job.failedWith(attempt.failure());
         }
         boolean checkpointed = job.template().checkpointable() && attempt.commonCheckpoint() > 0;
         if (checkpointed) {
@@ -364,7 +365,10 @@
                 .filter(job -> !job.state().isFinal() && state.attemptOf(job).isEmpty())
                 .ifPresent(job -> {
                     state.scheduled().remove(job.identifier());
-                    String text = end.kind().message(end.arguments().toArray());
+                    String text = end.kind() == ErrorKind.TASK_FAILED
+                                    && !job.lastFailure().isEmpty()
+                            ? end.kind().message(job.lastFailure())
+                            : end.kind().message(end.arguments().toArray());
                     finish(job, job.finalStateFor(end.kind()), end.kind(), text, Optional.empty());
                 });
     }
@@ -414,8 +418,7 @@
         if (servers.isEmpty()) {
             return;
         }
-        boolean needed = job.recorded() && (!job.repeatable() || job.state().isFinal());
-        if (needed && job.storedVersion() < job.version()) {
+        if (!job.written() && (!job.repeatable() || job.state().isFinal())) {
             forgetting.put(job.identifier(), new Forgetting(job.version(), attempt.identifier(), servers));
         } else {
             forget(attempt.identifier(), servers);
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
@@ -176,6 +176,7 @@
 
     /** Takes over, steps down, and does what is due. */
     public void tick() {
+        mirror.tick();
         List<String> ranking = membership.ranking();
         boolean first = !ranking.isEmpty() && ranking.getFirst().equals(context.self());
         if (role == Role.ACTIVE) {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/PlacerState.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/PlacerState.java
@@ -89,6 +89,12 @@
         waiters.changed(job, (requester, changed) -> reply(requester, new FrontReply.JobReply(changed.view())));
     }
 
+    /** A job was read from its record. */
+    void loaded(Job job) {
+        mirror.changed(job);
+        waiters.changed(job, (requester, changed) -> reply(requester, new FrontReply.JobReply(changed.view())));
+    }
+
     void reply(Requester requester, FrontReply reply) {
         replies.reply(requester, reply);
     }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/PolicyDriver.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/PolicyDriver.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.teaselwood.entry.core.EntryContext;
+import org.teaselwood.policy.AttemptResult;
 import org.teaselwood.policy.PolicyDecision;
 import org.teaselwood.policy.PolicyEvent;
 import org.teaselwood.policy.Scheduler;
@@ -31,7 +32,7 @@
         decisions = consumer;
     }
 
-    /** Ignores decisions while the policy is told to forget everything. */
+    /** Carries out no decision while the policy is told to forget everything; what it places meanwhile ends at once. */
     void mute(boolean newMuted) {
         muted = newMuted;
     }
@@ -46,15 +47,19 @@
         try {
             while (!events.isEmpty()) {
                 List<PolicyDecision> decided = scheduler.handle(events.poll(), context.now());
-                if (!muted) {
-                    decided.forEach(decisions);
-                }
+                decided.forEach(muted ? this::refuse : decisions);
             }
         } finally {
             running = false;
         }
     }
 
+    private void refuse(PolicyDecision decision) {
+        if (decision instanceof PolicyDecision.Place place) {
+            events.add(new PolicyEvent.AttemptEnded(place.attempt(), AttemptResult.CANCELLED, List.of()));
+        }
+    }
+
     Scheduler scheduler() {
         return scheduler;
     }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
@@ -75,7 +75,7 @@
             Job loaded = Job.of(record);
             loaded.stored(record.version(), revision);
             state.table().add(loaded);
-            state.changed(loaded);
+            state.loaded(loaded);
         } else if (job.storeRevision() == Job.REVISION_UNKNOWN && !store.writing(job)) {
             job.stored(record.version(), revision);
             if (job.version() > record.version()) {
@@ -87,6 +87,7 @@
     /** Recovers what the agents report, and gives all other jobs that wait to the policy. */
     void settle() {
         recover();
+        saveFinished();
         long deadline = state.now() + state.context().timings().agentLostMilliseconds();
         state.table().unfinished().stream()
                 .filter(job -> job.accepted() && state.attemptOf(job).isEmpty())
@@ -102,6 +103,17 @@
                 });
     }
 
+    /** Final states that only the standby's copy has are written. */
+    private void saveFinished() {
+        if (state.recordsLoaded()) {
+            state.table().all().stream()
+                    .filter(job -> job.state().isFinal() && job.recorded())
+                    .filter(job -> job.storeRevision() == Job.REVISION_UNKNOWN && !store.writing(job))
+                    .toList()
+                    .forEach(job -> store.save(job, Optional.empty()));
+        }
+    }
+
     /** An agent reported something that may belong to no open attempt. */
     void sighted() {
         due = true;
@@ -144,8 +156,13 @@
 
     private boolean supersedes(JobRecord record, Job job) {
         boolean ended = record.state().isFinal() && !job.state().isFinal();
-        boolean untouched = state.attemptOf(job).isEmpty() && !state.scheduled().contains(job.identifier());
-        return ended || untouched && !store.writing(job) && record.version() > job.version();
+        boolean newer = record.version() > job.version() || job.markedOtherwise(record);
+        return ended || untouched(job) && newer;
+    }
+
+    /** Whether this placer has done nothing with a job yet. */
+    boolean untouched(Job job) {
+        return state.attemptOf(job).isEmpty() && !state.scheduled().contains(job.identifier()) && !store.writing(job);
     }
 
     private void discard(Job job) {
@@ -226,7 +243,9 @@
             String server = sighting.agent().name();
             int part = sighting.part().report().part();
             PartPhase phase = sighting.phase();
-            if (!phase.holdsResources()) {
+            if (!phase.holdsResources() && tracesNeeded(identifier)) {
+                repeatAt = state.now() + REPEAT_MILLISECONDS;
+            } else if (!phase.holdsResources()) {
                 state.command(server, new AgentCommand.ForgetAttempt(state.term(), identifier));
                 sighting.agent().state().forget(identifier);
             } else if (phase.mayHaveRun()) {
@@ -244,6 +263,15 @@
                 .ifPresent(lifecycle::schedule);
     }
 
+    /** Whether the record of the job does not say yet what the traces of an attempt say. */
+    private boolean tracesNeeded(AttemptIdentifier identifier) {
+        return state.table()
+                .find(identifier.job())
+                .filter(job ->
+                        !job.written() && (!job.repeatable() || job.state().isFinal()))
+                .isPresent();
+    }
+
     private void open(Job job, AttemptIdentifier identifier, List<Sighting> sightings) {
         Map<Integer, Sighting> seen = new TreeMap<>();
         sightings.forEach(sighting -> seen.put(sighting.part().report().part(), sighting));
@@ -260,6 +288,9 @@
                 .mapToObj(index -> part(index, identifier, seen.get(index), marked.get(index)))
                 .forEach(attempt.parts()::add);
         state.open(attempt);
+        if (!job.repeatable()) {
+            job.starting(identifier.number(), List.copyOf(marked.values()));
+        }
         if (sightings.stream().map(Sighting::phase).anyMatch(PartPhase::holdsResources)) {
             lifecycle.adopt(attempt, state.now());
         }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionWork.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionWork.java
@@ -14,7 +14,6 @@
 import org.teaselwood.entry.membership.Membership;
 import org.teaselwood.entry.relay.PartKey;
 import org.teaselwood.model.ErrorKind;
-import org.teaselwood.model.JobState;
 import org.teaselwood.model.ServiceState;
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.policy.AttemptResult;
@@ -31,6 +30,8 @@
 
 /** What an active placer does with agents, records and requests; connects the parts of the placer with each other. */
 final class RegionWork implements JobStore.Listener {
+    private static final long POLICY_TICK_MILLISECONDS = 500;
+
     private final PlacerState state;
     private final Membership membership;
     private final PolicyDriver policy;
@@ -43,6 +44,8 @@
     /** Records that were read and not taken in yet. */
     private final List<KeyValue> records = new ArrayList<>();
 
+    private long policyTickAt = Long.MIN_VALUE;
+
     RegionWork(PlacerState state, Membership membership, Scheduler scheduler, TransactionBatcher batcher) {
         this.state = state;
         this.membership = membership;
@@ -75,6 +78,9 @@
     /** Stops placing: the policy forgets what it was told, and callers are sent on. */
     void end() {
         policy.mute(true);
+        state.directory().all().stream()
+                .filter(agent -> !agent.lost())
+                .forEach(agent -> policy.feed(new PolicyEvent.ServerLost(agent.name())));
         state.attempts().stream()
                 .filter(attempt -> attempt.policyIdentifier() != null)
                 .forEach(attempt -> {
@@ -85,10 +91,8 @@
                             attempt.policyIdentifier(), AttemptResult.CANCELLED, List.of()));
                 });
         List.copyOf(state.scheduled()).forEach(job -> policy.feed(new PolicyEvent.JobCancelled(job)));
-        state.directory().all().stream()
-                .filter(agent -> !agent.lost())
-                .forEach(agent -> policy.feed(new PolicyEvent.ServerLost(agent.name())));
         policy.mute(false);
+        store.end();
         submissions.end();
         queries.end();
         lifecycle.clear();
@@ -101,7 +105,7 @@
         String writer = state.context().settings().incarnation();
         return state.table().all().stream()
                 .filter(Job::accepted)
-                .map(job -> job.record(state.term(), writer))
+                .flatMap(job -> job.mirrored(state.term(), writer).stream())
                 .toList();
     }
 
@@ -150,7 +154,10 @@
     boolean silent(String relay, EntryMessage.SilentAgents message) {
         return message.agents().stream()
                         .filter(silent -> state.directory()
-                                .source(relay, silent.server(), silent.incarnation())
+                                .find(silent.server())
+                                .filter(agent -> agent.relay().equals(relay))
+                                .filter(agent -> silent.incarnation().isEmpty()
+                                        || agent.incarnation().equals(silent.incarnation()))
                                 .filter(agent -> agent.silentFor(state.now() - silent.silentMilliseconds()))
                                 .isPresent())
                         .toList()
@@ -180,7 +187,10 @@
         submissions.tick();
         queries.tick();
         store.tick();
-        policy.feed(new PolicyEvent.Tick());
+        if (state.now() - POLICY_TICK_MILLISECONDS >= policyTickAt) {
+            policyTickAt = state.now();
+            policy.feed(new PolicyEvent.Tick());
+        }
     }
 
     void pump() {
@@ -215,8 +225,7 @@
     public void written(Job job, long version) {
         submissions.written(job);
         lifecycle.written(job, version);
-        state.waiters()
-                .changed(job, (requester, changed) -> state.reply(requester, new FrontReply.JobReply(changed.view())));
+        state.mirror().changed(job);
     }
 
     @Override
@@ -232,17 +241,18 @@
         }
         JobRecord record = JobKeys.decode(current.get().value(), JobRecord.class);
         state.context().observeTerm(record.term());
-        if (record.term().compareTo(state.term()) > 0
-                || job.state().isFinal() && record.state().isFinal()) {
+        if (record.term().compareTo(state.term()) > 0) {
+            return;
+        }
+        if (job.state().isFinal() && record.state().isFinal()) {
+            lifecycle.written(job, job.version());
             return;
         }
         long revision = current.get().revision();
         job.storeRevision(revision);
         if (record.state().isFinal()) {
             replaceBy(job, () -> recovery.recorded(record, revision));
-        } else if (record.state() == JobState.STARTING
-                && !job.repeatable()
-                && !job.state().isFinal()) {
+        } else if (job.markedOtherwise(record)) {
             replaceBy(job, () -> recovery.recoverMarked(job, record));
         } else {
             store.save(job, state.table().answer(job.identifier()));
@@ -270,13 +280,21 @@
         records.clear();
         values.forEach(value -> {
             try {
-                recovery.recorded(JobKeys.decode(value.value(), JobRecord.class), value.revision());
+                takeIn(value, JobKeys.decode(value.value(), JobRecord.class));
             } catch (TeaselwoodException exception) {
                 state.context().effects().logged("record " + value.key() + ": " + exception.getMessage(), "", "");
             }
         });
     }
 
+    /** A mark that this placer does not know of is handled like the conflict that writing the record would meet. */
+    private void takeIn(KeyValue value, JobRecord record) {
+        Optional<Job> marked =
+                state.table().find(record.job()).filter(job -> job.markedOtherwise(record) && !recovery.untouched(job));
+        marked.ifPresentOrElse(
+                job -> conflicted(job, Optional.of(value)), () -> recovery.recorded(record, value.revision()));
+    }
+
     private void greeted(String relay, AgentMessage.AgentHello hello, boolean snapshot, boolean active) {
         state.context().observeTerm(hello.term());
         Optional<KnownAgent> known = state.directory().greeted(relay, hello, snapshot);
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/relay/AgentRelay.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/relay/AgentRelay.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.teaselwood.entry.core.EntryContext;
 import org.teaselwood.entry.core.Outbox;
 import org.teaselwood.entry.membership.Membership;
@@ -93,7 +95,16 @@
         }
         placer = entry;
         placerTerm = batch.term();
-        batch.commands().forEach(command -> command(command, batch.term()));
+        Set<String> missing = new TreeSet<>();
+        batch.commands().stream()
+                .filter(command -> !command(command, batch.term()))
+                .forEach(command -> missing.add(command.server()));
+        if (!missing.isEmpty()) {
+            outbox.toEntry(
+                    entry,
+                    new EntryMessage.SilentAgents(
+                            missing.stream().map(this::missingAgent).toList()));
+        }
     }
 
     /** Reports silent agents to the placer and drops those that are gone. */
@@ -166,10 +177,18 @@
         }
     }
 
-    private void command(EntryMessage.ToAgent command, Term term) {
+    /** An agent that is not connected here; the placer looks for it elsewhere. */
+    private EntryMessage.SilentAgent missingAgent(String server) {
+        Connected agent = agents.get(server);
+        return agent == null
+                ? new EntryMessage.SilentAgent(server, "", 0)
+                : new EntryMessage.SilentAgent(server, agent.state.incarnation(), silence(agent));
+    }
+
+    private boolean command(EntryMessage.ToAgent command, Term term) {
         Connected agent = agents.get(command.server());
         if (agent == null || !agent.open) {
-            return;
+            return false;
         }
         if (command.command() instanceof AgentCommand.Hold hold) {
             agent.state.holdSent(new PartKey(hold.attempt(), hold.part()), hold.specification());
@@ -178,6 +197,7 @@
         }
         agent.state.observeTerm(term);
         context.effects().send(agent.link, command.command());
+        return true;
     }
 
     private void forward(Connected agent, AgentMessage message) {
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/TakeoverTest.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/TakeoverTest.java
@@ -128,7 +128,7 @@
         placer.paused = true;
         region.run(6_000);
         JobView second = viewOf(region.ask(other, submit("k2", "plan", false)));
-        placer.paused = false;
+        placer.resume();
         region.run(8_000);
         assertThat(region.nodes.values().stream()
                         .filter(node -> node.core.placing())
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/VirtualRegion.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/VirtualRegion.java
@@ -1,7 +1,9 @@
 package org.teaselwood.entry.core;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -63,6 +65,7 @@
         boolean paused;
         boolean drained;
         boolean ready;
+        private final Deque<EntryEvent> backlog = new ArrayDeque<>();
         private long nextToken = 1;
 
         Node(EntryAddress address, String incarnation) {
@@ -75,12 +78,20 @@
 
         void event(EntryEvent event) {
             if (running && paused) {
-                after(50, () -> event(event));
+                backlog.add(event);
             } else if (running) {
                 core.handle(event, now);
             }
         }
 
+        /** Goes on after a pause; what arrived meanwhile is handled first. */
+        void resume() {
+            paused = false;
+            while (running && !backlog.isEmpty()) {
+                core.handle(backlog.poll(), now);
+            }
+        }
+
         /** Asks and returns the token. */
         long ask(FrontRequest request) {
             long token = nextToken++;
@@ -215,7 +226,13 @@
         lost.forEach(link -> close(link.number()));
         lost.stream()
                 .filter(link -> agents.containsKey(link.first()))
-                .forEach(link -> after(100, () -> connect(agents.get(link.first()), spare)));
+                .forEach(link -> after(100, () -> reconnect(link.first(), spare)));
+    }
+
+    private void reconnect(String name, String spare) {
+        if (agents.containsKey(name)) {
+            connect(agents.get(name), spare);
+        }
     }
 
     void cut(String first, String second, boolean broken) {
