--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/EntryMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/EntryMessage.java
@@ -1,6 +1,7 @@
 package org.teaselwood.protocol.message;
 
 import java.util.List;
+import org.teaselwood.model.Configuration;
 import org.teaselwood.model.JobIdentifier;
 import org.teaselwood.model.JobState;
 import org.teaselwood.model.JobSubmission;
@@ -130,4 +131,10 @@
 
     /** The standby has a change and all before it. */
     record JobTableAcknowledged(Term term, long sequence) implements EntryMessage {}
+
+    /** Asks a peer for its configuration if that is newer than the given revision. */
+    record ConfigurationRequest(long revision) implements EntryMessage {}
+
+    /** A whole accepted configuration, for a peer that is behind. */
+    record ConfigurationDocument(Configuration configuration) implements EntryMessage {}
 }
