Adopt a configuration through the configuration core

Cause: a configuration applied past the configuration core left it behind the revision that peers report, and the entry never became ready. Change: applyConfiguration hands it to the configuration core.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/ConfigurationDesk.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/ConfigurationDesk.java
@@ -75,6 +75,12 @@
         core.change(token, request.change(), request.dryRun(), context.now());
     }
 
+    /** Puts an accepted configuration in force if it is newer. */
+    void adopt(Configuration newer) {
+        core.peerMessage(context.self(), new EntryMessage.ConfigurationDocument(newer), context.now());
+        context.configurationProblem(core.notReadyReason().orElse(""));
+    }
+
     /** Why the entry may not serve, empty when it may. */
     Optional<String> notReadyReason() {
         return core.notReadyReason();
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -72,10 +72,8 @@
     /** Puts a configuration in force if its revision is higher than that of the present one. */
     public void applyConfiguration(Configuration newer, long nowMilliseconds) {
         context.advance(nowMilliseconds);
-        if (newer.revision() > context.configuration().revision()) {
-            apply(newer);
-            settle();
-        }
+        configuration.adopt(newer);
+        settle();
     }
 
     /** Whether this entry places at present; for tests and the status page. */
