--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeCaller.java
@@ -0,0 +1,200 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaselwood.model.ErrorAnswer;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.model.JobState;
+import org.teaselwood.model.Outcome;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.FrontRequest;
+import org.teaselwood.protocol.message.JobView;
+import org.teaselwood.protocol.message.Principal;
+
+/**
+ * One caller with one submission: submits, waits and fetches the answer, and repeats with the same request key at
+ * another entry when a connection breaks or no reply comes. Confined to the thread of its virtual time.
+ */
+final class FakeCaller {
+    private static final long REPLY_TIMEOUT_MILLISECONDS = 5_000;
+    private static final long WAIT_MILLISECONDS = 20_000;
+    private static final long RETRY_MILLISECONDS = 500;
+
+    private final World world;
+    private final Submission submission;
+    private final Principal principal;
+    private int unansweredSubmissions;
+    private Optional<JobIdentifier> job = Optional.empty();
+    private Outcome outcome = Outcome.PENDING;
+    private boolean cancelled;
+    private boolean answered;
+    private int generation;
+
+    FakeCaller(World world, Submission submission) {
+        this.world = world;
+        this.submission = submission;
+        this.principal = new Principal(submission.team(), false);
+    }
+
+    void begin() {
+        submit();
+    }
+
+    Submission submission() {
+        return submission;
+    }
+
+    /** Whether the caller has learned what became of its request, the whole answer included. */
+    boolean isDone() {
+        return outcome != Outcome.PENDING && (outcome != Outcome.SUCCEEDED || answered);
+    }
+
+    Outcome outcome() {
+        return outcome;
+    }
+
+    /** Cancels the job, if it is known. */
+    void cancel() {
+        job.ifPresent(identifier -> {
+            cancelled = true;
+            ask(new FrontRequest.CancelJob(principal, identifier), false, REPLY_TIMEOUT_MILLISECONDS);
+        });
+    }
+
+    boolean isCancelled() {
+        return cancelled;
+    }
+
+    /** Submits again with the same request key, as a caller does that lost its connection. */
+    void repeat() {
+        if (!isDone()) {
+            submit();
+        }
+    }
+
+    private void submit() {
+        world.oracle().submissionSent(submission);
+        unansweredSubmissions++;
+        ask(new FrontRequest.SubmitJob(principal, submission.toJobSubmission()), true, REPLY_TIMEOUT_MILLISECONDS);
+    }
+
+    private void proceed() {
+        if (isDone()) {
+            return;
+        }
+        if (job.isEmpty()) {
+            submit();
+        } else if (outcome == Outcome.SUCCEEDED) {
+            ask(new FrontRequest.FetchAnswer(principal, job.get()), false, REPLY_TIMEOUT_MILLISECONDS);
+        } else {
+            ask(
+                    new FrontRequest.WaitForJob(principal, job.get(), -1, true, WAIT_MILLISECONDS),
+                    false,
+                    WAIT_MILLISECONDS + REPLY_TIMEOUT_MILLISECONDS);
+        }
+    }
+
+    private void ask(FrontRequest request, boolean submits, long timeoutMilliseconds) {
+        List<FakeEntry> entries = world.readyEntries();
+        if (entries.isEmpty()) {
+            if (submits) {
+                unansweredSubmissions--;
+            }
+            retryLater();
+            return;
+        }
+        FakeEntry entry = entries.get(world.random().nextInt(entries.size()));
+        int asked = ++generation;
+        world.trace(
+                submission.identity(),
+                "asks " + entry.address().entry() + " " + request.getClass().getSimpleName());
+        long token = entry.ask(request, reply -> replied(reply, submits, asked));
+        world.time().schedule(timeoutMilliseconds, () -> {
+            if (entry.isOpen(token)) {
+                if (entry.isLeaving() && !entry.node().isDead() && !world.disturbedSince(timeoutMilliseconds)) {
+                    world.oracle().report("P7", world.time().nowMilliseconds(), "a stopping entry cut " + request);
+                }
+                entry.abandon(token);
+                if (asked == generation) {
+                    proceed();
+                }
+            }
+        });
+    }
+
+    private void replied(FrontReply reply, boolean submits, int asked) {
+        world.trace(submission.identity(), "gets " + reply);
+        if (submits) {
+            unansweredSubmissions--;
+        }
+        if (isDone()) {
+            return;
+        }
+        switch (reply) {
+            case FrontReply.JobReply view -> learned(view.job());
+            case FrontReply.AnswerReply answer -> {
+                answered = true;
+                world.oracle()
+                        .answerReceived(
+                                submission, answer.content(), world.time().nowMilliseconds());
+            }
+            case FrontReply.Refused refused -> refused(refused, submits);
+            default -> world.oracle().report("P3", world.time().nowMilliseconds(), "unexpected reply " + reply);
+        }
+        if (!isDone() && asked == generation) {
+            retryLater();
+        }
+    }
+
+    private void learned(JobView view) {
+        if (!view.requestKey().equals(submission.requestKey()) || !view.team().equals(submission.team())) {
+            world.oracle()
+                    .report("P3", world.time().nowMilliseconds(), submission.identity() + " was shown " + view.job());
+            return;
+        }
+        job = Optional.of(view.job());
+        if (view.state().isFinal()) {
+            finish(view.outcome());
+            checkCancelled(view);
+        }
+    }
+
+    private void checkCancelled(JobView view) {
+        if (view.state() == JobState.CANCELLED && !cancelled) {
+            world.oracle().report("P3", world.time().nowMilliseconds(), submission.identity() + " was never cancelled");
+        }
+    }
+
+    private void refused(FrontReply.Refused refused, boolean submits) {
+        if (submits && refused.outcome() == Outcome.NOT_RUN) {
+            world.oracle()
+                    .toldNotRun(
+                            submission, unansweredSubmissions == 0, world.time().nowMilliseconds());
+        }
+        if (!ErrorAnswer.of(refused.kind()).retryable() && submits) {
+            finish(refused.outcome());
+        } else if (!submits && !ErrorAnswer.of(refused.kind()).retryable()) {
+            // The job is not known any more, for example after an outage in which it was kept in memory alone.
+            job = Optional.empty();
+            outcome = Outcome.PENDING;
+        }
+    }
+
+    private void finish(Outcome result) {
+        outcome = result;
+        if (result == Outcome.NOT_RUN) {
+            world.oracle()
+                    .toldNotRun(
+                            submission, unansweredSubmissions == 0, world.time().nowMilliseconds());
+        }
+    }
+
+    private void retryLater() {
+        int asked = generation;
+        world.time().schedule(RETRY_MILLISECONDS, () -> {
+            if (asked == generation) {
+                proceed();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeEntry.java
@@ -0,0 +1,191 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.teaselwood.entry.core.EntryCore;
+import org.teaselwood.entry.core.EntryEffects;
+import org.teaselwood.entry.core.EntryEvent;
+import org.teaselwood.entry.core.StoreCall;
+import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.FrontRequest;
+import org.teaselwood.protocol.message.Message;
+
+/** A real entry core in a simulated process. Confined to the thread of its virtual time. */
+final class FakeEntry implements EntryEffects, FakeNetwork.Acceptor {
+    private static final long TICK_MILLISECONDS = 100;
+
+    private final World world;
+    private final Node node;
+    private final EntryAddress address;
+    private final EntryCore core;
+    private final Map<Long, Consumer<FrontReply>> openRequests = new HashMap<>();
+    private final Set<Long> links = new HashSet<>();
+    private long nextToken = 1;
+    private boolean ready;
+    private boolean drained;
+    private boolean leaving;
+
+    FakeEntry(World world, Node node, EntryAddress address) {
+        this.world = world;
+        this.node = node;
+        this.address = address;
+        this.core = world.newCore(address, this);
+        world.network().listen(World.hostPort(address), this);
+        tickLater();
+    }
+
+    @Override
+    public Node node() {
+        return node;
+    }
+
+    EntryAddress address() {
+        return address;
+    }
+
+    boolean isReady() {
+        return ready && !node.isDead() && !leaving;
+    }
+
+    boolean isDrained() {
+        return drained;
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    /** Asks the core for a caller; the reply never comes when the process dies. Returns a token to abandon it. */
+    long ask(FrontRequest request, Consumer<FrontReply> reply) {
+        long token = nextToken++;
+        openRequests.put(token, reply);
+        node.deliver(() -> handle(new EntryEvent.FrontRequested(token, request)));
+        return token;
+    }
+
+    void abandon(long token) {
+        if (openRequests.remove(token) != null) {
+            node.deliver(() -> handle(new EntryEvent.FrontAbandoned(token)));
+        }
+    }
+
+    /** Whether a request is still without a reply. */
+    boolean isOpen(long token) {
+        return openRequests.containsKey(token);
+    }
+
+    void shutDown() {
+        leaving = true;
+        node.deliver(() -> handle(new EntryEvent.ShutdownRequested()));
+    }
+
+    @Override
+    public FakeNetwork.Listener accept(long link) {
+        links.add(link);
+        handle(new EntryEvent.LinkAccepted(link));
+        return listener();
+    }
+
+    @Override
+    public void send(long link, Message message) {
+        world.network().send(link, node, message);
+    }
+
+    @Override
+    public void closeLink(long link) {
+        if (links.remove(link)) {
+            world.network().close(link);
+            node.deliver(() ->
+                    world.time().schedule(0, () -> node.deliver(() -> handle(new EntryEvent.LinkClosed(link)))));
+        }
+    }
+
+    @Override
+    public void connect(EntryAddress to) {
+        world.network().connect(node, World.hostPort(to), new FakeNetwork.Connector() {
+            @Override
+            public FakeNetwork.Listener connected(long link) {
+                links.add(link);
+                handle(new EntryEvent.LinkConnected(link, to));
+                return listener();
+            }
+
+            @Override
+            public void failed() {
+                handle(new EntryEvent.ConnectFailed(to));
+            }
+        });
+    }
+
+    @Override
+    public void callStore(long token, StoreCall call) {
+        world.store().call(call, reply -> node.deliver(() -> handle(new EntryEvent.StoreReplied(token, reply))));
+    }
+
+    @Override
+    public void reply(long token, FrontReply reply) {
+        Consumer<FrontReply> waiting = openRequests.remove(token);
+        if (waiting != null) {
+            world.time().schedule(1, () -> waiting.accept(reply));
+        }
+    }
+
+    @Override
+    public void readinessChanged(boolean nowReady, String reason) {
+        ready = nowReady;
+    }
+
+    @Override
+    public void drained() {
+        drained = true;
+    }
+
+    @Override
+    public void observed(String metric, String team, long milliseconds) {
+        // Histograms are not part of what the oracle judges.
+    }
+
+    @Override
+    public void logged(String message, String job, String team) {
+        world.trace(node.name(), message + " " + job);
+    }
+
+    private FakeNetwork.Listener listener() {
+        return new FakeNetwork.Listener() {
+            @Override
+            public void received(long link, Message message) {
+                handle(new EntryEvent.MessageReceived(link, message));
+            }
+
+            @Override
+            public void closed(long link) {
+                if (links.remove(link)) {
+                    handle(new EntryEvent.LinkClosed(link));
+                }
+            }
+        };
+    }
+
+    void configurationMayHaveChanged() {
+        node.deliver(() -> handle(new EntryEvent.ConfigurationMayHaveChanged()));
+    }
+
+    private void handle(EntryEvent event) {
+        core.handle(event, world.time().nowMilliseconds());
+    }
+
+    /** A paused process ticks once when it resumes, like a process that was stopped. */
+    private void tickLater() {
+        world.time()
+                .schedule(
+                        TICK_MILLISECONDS,
+                        () -> node.deliver(() -> {
+                            handle(new EntryEvent.Tick());
+                            tickLater();
+                        }));
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeNetwork.java
@@ -0,0 +1,237 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import org.teaselwood.protocol.message.Message;
+
+/**
+ * Connections between simulated processes. Like TCP, a connection delivers in order or breaks; unlike TCP, a message
+ * may be delivered twice when the network is told to duplicate, because every message of the protocol claims to be
+ * idempotent. A cut between two data centres, which may be in one direction, delays messages until it heals.
+ * Confined to the thread of its virtual time.
+ */
+final class FakeNetwork {
+    private static final long LOSS_DETECTION_MILLISECONDS = 15_000;
+
+    private final VirtualTime time;
+    private final RandomGenerator random;
+    private final Map<String, Acceptor> acceptors = new HashMap<>();
+    private final Set<String> cuts = new TreeSet<>();
+    private final List<Connection> connections = new ArrayList<>();
+    private long nextLink = 1;
+    private long extraDelayMilliseconds;
+    private double duplication;
+
+    /** Told about the connections of one process. */
+    interface Acceptor {
+        /** The process that listens. */
+        Node node();
+
+        /** Accepts a connection and tells who listens to it. */
+        Listener accept(long link);
+    }
+
+    /** Told about one end of a connection. */
+    interface Listener {
+        /** A message arrived. */
+        void received(long link, Message message);
+
+        /** The connection closed. */
+        void closed(long link);
+    }
+
+    /** Told how an attempt to connect ended. */
+    interface Connector {
+        /** The connection is open. */
+        Listener connected(long link);
+
+        /** Nobody listens, or nobody answered. */
+        void failed();
+    }
+
+    FakeNetwork(VirtualTime time, RandomGenerator random) {
+        this.time = time;
+        this.random = random;
+    }
+
+    void listen(String address, Acceptor acceptor) {
+        acceptors.put(address, acceptor);
+    }
+
+    void connect(Node from, String address, Connector connector) {
+        Acceptor acceptor = acceptors.get(address);
+        time.schedule(
+                delay(),
+                () -> from.deliver(() -> {
+                    if (acceptor == null
+                            || acceptor.node().isDead()
+                            || isCut(from, acceptor.node())
+                            || isCut(acceptor.node(), from)) {
+                        connector.failed();
+                        return;
+                    }
+                    open(from, acceptor, connector);
+                }));
+    }
+
+    void send(long link, Node from, Message message) {
+        Connection connection = connectionOf(link);
+        if (connection != null) {
+            connection.send(link, from, message);
+        }
+    }
+
+    void close(long link) {
+        Connection connection = connectionOf(link);
+        if (connection != null) {
+            connection.close(link);
+        }
+    }
+
+    /** Breaks the connections of a process; its peers learn it at once, or only by silence when the VM is gone. */
+    void disconnect(Node node, boolean peersLearn) {
+        List.copyOf(connections).stream()
+                .filter(connection -> connection.touches(node))
+                .forEach(connection -> {
+                    connections.remove(connection);
+                    if (peersLearn) {
+                        connection.tellPeerOf(node, delay());
+                    } else {
+                        connection.tellPeerOf(node, LOSS_DETECTION_MILLISECONDS);
+                    }
+                });
+    }
+
+    void cut(String fromDataCentre, String toDataCentre) {
+        cuts.add(fromDataCentre + ">" + toDataCentre);
+    }
+
+    void healAll() {
+        cuts.clear();
+        extraDelayMilliseconds = 0;
+        duplication = 0;
+        List.copyOf(connections).forEach(Connection::flush);
+    }
+
+    boolean isWhole() {
+        return cuts.isEmpty() && extraDelayMilliseconds == 0;
+    }
+
+    void slowDown(long milliseconds) {
+        extraDelayMilliseconds = milliseconds;
+    }
+
+    void duplicate(double probability) {
+        duplication = probability;
+    }
+
+    private long delay() {
+        long extra = extraDelayMilliseconds == 0 ? 0 : random.nextLong(extraDelayMilliseconds);
+        return 1 + random.nextLong(2) + extra;
+    }
+
+    private boolean isCut(Node from, Node to) {
+        return cuts.contains(from.dataCentre() + ">" + to.dataCentre());
+    }
+
+    private void open(Node from, Acceptor acceptor, Connector connector) {
+        Connection connection = new Connection(from, acceptor.node(), nextLink, nextLink + 1);
+        nextLink += 2;
+        connections.add(connection);
+        time.schedule(
+                0,
+                () -> acceptor.node().deliver(() -> {
+                    connection.acceptingListener = acceptor.accept(connection.acceptingLink);
+                    connection.flush();
+                }));
+        connection.connectingListener = connector.connected(connection.connectingLink);
+    }
+
+    private Connection connectionOf(long link) {
+        return connections.stream()
+                .filter(connection -> connection.connectingLink == link || connection.acceptingLink == link)
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** One connection with its two ends. */
+    private final class Connection {
+        private final Node connecting;
+        private final Node accepting;
+        private final long connectingLink;
+        private final long acceptingLink;
+        private final Queue<Message> towardsAccepting = new ArrayDeque<>();
+        private final Queue<Message> towardsConnecting = new ArrayDeque<>();
+        private Listener connectingListener;
+        private Listener acceptingListener;
+        private long lastTowardsAccepting;
+        private long lastTowardsConnecting;
+
+        Connection(Node connecting, Node accepting, long connectingLink, long acceptingLink) {
+            this.connecting = connecting;
+            this.accepting = accepting;
+            this.connectingLink = connectingLink;
+            this.acceptingLink = acceptingLink;
+        }
+
+        boolean touches(Node node) {
+            return connecting == node || accepting == node;
+        }
+
+        void send(long link, Node from, Message message) {
+            (link == connectingLink ? towardsAccepting : towardsConnecting).add(message);
+            flush();
+        }
+
+        void flush() {
+            if (acceptingListener != null && !isCut(connecting, accepting)) {
+                lastTowardsAccepting =
+                        drain(towardsAccepting, accepting, acceptingLink, acceptingListener, lastTowardsAccepting);
+            }
+            if (connectingListener != null && !isCut(accepting, connecting)) {
+                lastTowardsConnecting =
+                        drain(towardsConnecting, connecting, connectingLink, connectingListener, lastTowardsConnecting);
+            }
+        }
+
+        private long drain(Queue<Message> queue, Node to, long link, Listener listener, long last) {
+            long due = last;
+            while (!queue.isEmpty()) {
+                Message message = queue.poll();
+                due = Math.max(due, time.nowMilliseconds() + delay());
+                Runnable step = () -> to.deliver(() -> listener.received(link, message));
+                time.schedule(due - time.nowMilliseconds(), step);
+                if (duplication > 0 && random.nextDouble() < duplication) {
+                    time.schedule(due - time.nowMilliseconds() + delay(), step);
+                }
+            }
+            return due;
+        }
+
+        void close(long link) {
+            connections.remove(this);
+            Node peer = link == connectingLink ? accepting : connecting;
+            Node self = link == connectingLink ? connecting : accepting;
+            tellPeerOf(self, isCut(self, peer) ? LOSS_DETECTION_MILLISECONDS : delay());
+        }
+
+        void tellPeerOf(Node node, long delayMilliseconds) {
+            boolean isConnecting = node == connecting;
+            Node peer = isConnecting ? accepting : connecting;
+            Listener listener = isConnecting ? acceptingListener : connectingListener;
+            long link = isConnecting ? acceptingLink : connectingLink;
+            long last = isConnecting ? lastTowardsAccepting : lastTowardsConnecting;
+            if (listener != null) {
+                long due = Math.max(last - time.nowMilliseconds(), delayMilliseconds);
+                time.schedule(due, () -> peer.deliver(() -> listener.closed(link)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeStore.java
@@ -0,0 +1,116 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.teaselwood.entry.core.StoreCall;
+import org.teaselwood.entry.core.StoreReply;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueCondition;
+import org.teaselwood.store.KeyValueOperation;
+import org.teaselwood.store.KeyValueTransaction;
+import org.teaselwood.store.TransactionResult;
+
+/**
+ * The key-value service in virtual time with the faults of the brief: down, slow, replies lost after the write took
+ * effect, reads answered late. Confined to one thread.
+ */
+final class FakeStore {
+    private static final long CALL_TIMEOUT_MILLISECONDS = 1_000;
+
+    private final VirtualTime time;
+    private final TreeMap<String, KeyValue> values = new TreeMap<>();
+    private final List<Runnable> configurationWatchers = new ArrayList<>();
+    private Mode mode = Mode.UP;
+    private long revision;
+    private long calls;
+
+    /** What the service does with a call. */
+    enum Mode {
+        UP,
+        DOWN,
+        /** Answers after a second and a half, later than any caller waits. */
+        SLOW,
+        /** Carries out the call and loses its reply. */
+        LOSES_REPLIES
+    }
+
+    FakeStore(VirtualTime time) {
+        this.time = time;
+    }
+
+    void setMode(Mode next) {
+        mode = next;
+    }
+
+    Mode mode() {
+        return mode;
+    }
+
+    long calls() {
+        return calls;
+    }
+
+    void watchConfiguration(Runnable watcher) {
+        configurationWatchers.add(watcher);
+    }
+
+    void call(StoreCall call, Consumer<StoreReply> reply) {
+        calls++;
+        Runnable timeout = () -> reply.accept(new StoreReply.Unavailable("timeout"));
+        switch (mode) {
+            case UP ->
+                time.schedule(1, () -> {
+                    StoreReply result = carryOut(call);
+                    time.schedule(1, () -> reply.accept(result));
+                });
+            case DOWN -> time.schedule(2, () -> reply.accept(new StoreReply.Unavailable("connection refused")));
+            case SLOW -> {
+                time.schedule(CALL_TIMEOUT_MILLISECONDS, timeout);
+                time.schedule(CALL_TIMEOUT_MILLISECONDS + 500, () -> carryOut(call));
+            }
+            default -> {
+                time.schedule(1, () -> carryOut(call));
+                time.schedule(CALL_TIMEOUT_MILLISECONDS, timeout);
+            }
+        }
+    }
+
+    private StoreReply carryOut(StoreCall call) {
+        return switch (call) {
+            case StoreCall.Get get -> new StoreReply.Value(Optional.ofNullable(values.get(get.key())));
+            case StoreCall.ListPrefix list ->
+                new StoreReply.Values(values.tailMap(list.prefix(), true).values().stream()
+                        .takeWhile(value -> value.key().startsWith(list.prefix()))
+                        .toList());
+            case StoreCall.Transact transact -> new StoreReply.Transacted(transact(transact.transaction()));
+        };
+    }
+
+    private TransactionResult transact(KeyValueTransaction transaction) {
+        if (!transaction.conditions().stream().allMatch(this::holds)) {
+            return new TransactionResult(false, revision);
+        }
+        revision++;
+        transaction.operations().forEach(this::apply);
+        if (transaction.operations().stream()
+                .anyMatch(operation -> operation.key().contains("/configuration/"))) {
+            configurationWatchers.forEach(watcher -> time.schedule(2, watcher));
+        }
+        return new TransactionResult(true, revision);
+    }
+
+    private boolean holds(KeyValueCondition condition) {
+        KeyValue value = values.get(condition.key());
+        return condition.revision() == (value == null ? 0 : value.revision());
+    }
+
+    private void apply(KeyValueOperation operation) {
+        switch (operation) {
+            case KeyValueOperation.Put put -> values.put(put.key(), new KeyValue(put.key(), put.value(), revision));
+            case KeyValueOperation.Delete delete -> values.remove(delete.key());
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeWorker.java
@@ -0,0 +1,242 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.teaselwood.model.Answer;
+import org.teaselwood.protocol.message.TaskSpecification;
+import org.teaselwood.protocol.worker.TaskIdentifier;
+import org.teaselwood.protocol.worker.WorkerCall;
+import org.teaselwood.protocol.worker.WorkerReply;
+import org.teaselwood.protocol.worker.WorkerTask;
+import org.teaselwood.protocol.worker.WorkerTask.State;
+
+/**
+ * A worker in virtual time that tells the oracle of every task that it starts and ends. Confined to the thread of its
+ * virtual time.
+ */
+final class FakeWorker {
+    private final VirtualTime time;
+    private final String server;
+    private final Oracle oracle;
+    private final Map<TaskIdentifier, Task> tasks = new TreeMap<>();
+    private final List<Listing> listings = new ArrayList<>();
+    private String incarnation = "";
+    private long version;
+    private boolean failsEverything;
+    private boolean dead;
+
+    private record Listing(long knownVersion, Consumer<WorkerReply> reply) {}
+
+    FakeWorker(VirtualTime time, String server, Oracle oracle) {
+        this.time = time;
+        this.server = server;
+        this.oracle = oracle;
+        this.version = 1 + time.nowMilliseconds() * 1_000;
+    }
+
+    /** Ends with its VM: everything that runs stops at once. */
+    void kill() {
+        tasks.values().stream().filter(Task::isRunning).forEach(task -> task.end(State.STOPPED, ""));
+        dead = true;
+    }
+
+    void setFailsEverything(boolean value) {
+        failsEverything = value;
+    }
+
+    void call(WorkerCall call, Consumer<WorkerReply> reply) {
+        if (dead) {
+            return;
+        }
+        switch (call) {
+            case WorkerCall.Adopt adopt -> reply.accept(adopt(adopt));
+            case WorkerCall.ListTasks list -> list(list, reply);
+            case WorkerCall.Run run -> reply.accept(run(run));
+            case WorkerCall.Renew renew -> {
+                renew.tasks().forEach(task -> renew(task, renew.leaseMilliseconds()));
+                reply.accept(new WorkerReply.Done());
+            }
+            case WorkerCall.Checkpoint checkpoint -> {
+                onRunning(checkpoint.task(), Task::checkpoint);
+                reply.accept(new WorkerReply.Done());
+            }
+            case WorkerCall.Throttle ignored -> reply.accept(new WorkerReply.Done());
+            case WorkerCall.Stop stop -> {
+                stop(stop.task());
+                reply.accept(new WorkerReply.Done());
+            }
+            case WorkerCall.FetchAnswer fetch -> reply.accept(answer(fetch.task()));
+            case WorkerCall.Forget forget -> {
+                forget.tasks().forEach(this::forget);
+                reply.accept(new WorkerReply.Done());
+            }
+        }
+    }
+
+    private WorkerReply adopt(WorkerCall.Adopt adopt) {
+        incarnation = adopt.incarnation();
+        tasks.values().stream().filter(Task::isRunning).forEach(task -> task.renew(adopt.leaseMilliseconds()));
+        return new WorkerReply.Adopted(
+                version,
+                tasks.values().stream()
+                        .filter(task -> task.specification != null)
+                        .map(task ->
+                                new WorkerReply.AdoptedTask(task.status(), task.specification, task.firstAccelerator))
+                        .toList());
+    }
+
+    private void list(WorkerCall.ListTasks list, Consumer<WorkerReply> reply) {
+        if (list.knownVersion() != version) {
+            reply.accept(listing());
+            return;
+        }
+        Listing listing = new Listing(list.knownVersion(), reply);
+        listings.add(listing);
+        time.schedule(list.waitMilliseconds(), () -> {
+            if (!dead && listings.remove(listing)) {
+                reply.accept(listing());
+            }
+        });
+    }
+
+    private WorkerReply listing() {
+        return new WorkerReply.Tasks(
+                version, tasks.values().stream().map(Task::status).toList());
+    }
+
+    private WorkerReply run(WorkerCall.Run run) {
+        Task known = tasks.get(run.task());
+        if (known != null) {
+            return new WorkerReply.Ran(known.status());
+        }
+        if (!run.incarnation().equals(incarnation)) {
+            return new WorkerReply.Refused("another agent has adopted this worker");
+        }
+        Task task = new Task(run);
+        tasks.put(run.task(), task);
+        task.start();
+        changed();
+        return new WorkerReply.Ran(task.status());
+    }
+
+    private void renew(TaskIdentifier identifier, long leaseMilliseconds) {
+        onRunning(identifier, task -> task.renew(leaseMilliseconds));
+    }
+
+    private void stop(TaskIdentifier identifier) {
+        Task task = tasks.computeIfAbsent(identifier, Task::new);
+        if (task.isRunning()) {
+            task.end(State.STOPPED, "");
+        }
+        changed();
+    }
+
+    private WorkerReply answer(TaskIdentifier identifier) {
+        Task task = tasks.get(identifier);
+        if (task == null || task.state != State.SUCCEEDED) {
+            return new WorkerReply.Refused("the task has no answer");
+        }
+        Answer answer = Answer.of(Workload.partAnswer(task.specification, identifier.part()));
+        return new WorkerReply.AnswerContent(answer.content(), answer.length(), answer.checksum());
+    }
+
+    private void forget(TaskIdentifier identifier) {
+        onRunning(identifier, task -> task.end(State.STOPPED, ""));
+        tasks.remove(identifier);
+        changed();
+    }
+
+    private void onRunning(TaskIdentifier identifier, Consumer<Task> action) {
+        Task task = tasks.get(identifier);
+        if (task != null && task.isRunning()) {
+            action.accept(task);
+        }
+    }
+
+    private void changed() {
+        version++;
+        List<Listing> due = List.copyOf(listings);
+        listings.clear();
+        due.forEach(listing -> listing.reply().accept(listing()));
+    }
+
+    /** One task with its lease. */
+    private final class Task {
+        private final TaskIdentifier identifier;
+        private final TaskSpecification specification;
+        private final int firstAccelerator;
+        private State state;
+        private int checkpoint;
+        private long leaseEnds;
+        private String failure = "";
+
+        Task(WorkerCall.Run run) {
+            identifier = run.task();
+            specification = run.specification();
+            firstAccelerator = run.firstAccelerator();
+            state = State.RUNNING;
+            renew(run.leaseMilliseconds());
+        }
+
+        /** A task that was stopped before it was run, and so never runs. */
+        Task(TaskIdentifier identifier) {
+            this.identifier = identifier;
+            specification = null;
+            firstAccelerator = -1;
+            state = State.STOPPED;
+        }
+
+        void start() {
+            oracle.taskStarted(server, identifier, specification, time.nowMilliseconds());
+            time.schedule(Workload.runMilliseconds(specification), this::finish);
+        }
+
+        boolean isRunning() {
+            return state == State.RUNNING;
+        }
+
+        void renew(long leaseMilliseconds) {
+            leaseEnds = time.nowMilliseconds() + leaseMilliseconds;
+            time.schedule(leaseMilliseconds, this::checkLease);
+        }
+
+        void checkpoint() {
+            if (specification.checkpointable()) {
+                checkpoint++;
+                changed();
+            }
+        }
+
+        WorkerTask status() {
+            return new WorkerTask(identifier, state, state == State.SUCCEEDED ? 100 : 0, checkpoint, 0, 0, failure);
+        }
+
+        private void finish() {
+            if (dead || !isRunning()) {
+                return;
+            }
+            if (failsEverything || Workload.fails(specification)) {
+                end(State.FAILED, "the command failed");
+            } else {
+                end(State.SUCCEEDED, "");
+            }
+            changed();
+        }
+
+        private void checkLease() {
+            if (!dead && isRunning() && time.nowMilliseconds() >= leaseEnds) {
+                end(State.LEASE_EXPIRED, "");
+                changed();
+            }
+        }
+
+        private void end(State end, String text) {
+            state = end;
+            failure = text;
+            oracle.taskEnded(server, identifier, end, time.nowMilliseconds());
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FuzzCommand.java
@@ -0,0 +1,177 @@
+package org.teaselwood.bench.fuzz;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+import net.jqwik.api.RandomGenerator;
+import net.jqwik.api.Shrinkable;
+import net.jqwik.api.sessions.JqwikSession;
+import org.teaselwood.policy.GuaranteeScheduler;
+import org.teaselwood.policy.Scheduler;
+
+/**
+ * The command {@code bin/fuzz}: runs seeded sequences of actions and prints the shrunk trace of those that break a
+ * promise. Exit code 0 for no violation, 1 for at least one, 64 for wrong arguments.
+ */
+public final class FuzzCommand {
+    private static final int GENERATION_SIZE = 1_000;
+    private static final int USAGE_EXIT = 64;
+
+    @Parameter(names = "--seed", description = "Seed of the first run; run number i uses seed + i")
+    private long seed = 1;
+
+    @Parameter(names = "--runs", description = "Number of runs")
+    private int runs = 100;
+
+    @Parameter(names = "--steps", description = "Most actions of a run")
+    private int steps = 200;
+
+    @Parameter(names = "--shrink", description = "Most candidates tried to shrink a failing run; 0 to print it whole")
+    private int shrinkTries = 300;
+
+    @Parameter(names = "--threads", description = "Runs at the same time; the output does not depend on it")
+    private int threads = 4;
+
+    @Parameter(names = "--trace", description = "Print the log of every failing run")
+    private boolean trace;
+
+    @Parameter(names = "--help", help = true, description = "Print this help")
+    private boolean help;
+
+    private final Supplier<Scheduler> schedulers = GuaranteeScheduler::new;
+
+    /** Actions of one seed. */
+    private record Sequence(long seed, Shrinkable<List<Action>> actions) {}
+
+    /** Result of one run. */
+    private record Result(Sequence sequence, List<String> violations, Map<String, Long> outcomes) {}
+
+    private FuzzCommand() {}
+
+    /** Entry point. */
+    public static void main(String[] arguments) {
+        FuzzCommand command = new FuzzCommand();
+        JCommander parser =
+                JCommander.newBuilder().programName("fuzz").addObject(command).build();
+        try {
+            parser.parse(arguments);
+        } catch (ParameterException exception) {
+            System.err.println("fuzz: " + exception.getMessage());
+            System.exit(USAGE_EXIT);
+        }
+        if (command.help) {
+            parser.usage();
+            return;
+        }
+        int[] exit = {0};
+        JqwikSession.run(() -> exit[0] = command.execute());
+        System.exit(exit[0]);
+    }
+
+    private int execute() {
+        List<Sequence> sequences = IntStream.range(0, runs)
+                .mapToObj(index -> sequenceOf(seed + index))
+                .toList();
+        List<Result> results = runAll(sequences);
+        results.stream()
+                .filter(result -> !result.violations().isEmpty())
+                .forEach(result -> print(result.sequence().seed(), shrink(result)));
+        summarize(results);
+        return results.stream().allMatch(result -> result.violations().isEmpty()) ? 0 : 1;
+    }
+
+    private Sequence sequenceOf(long runSeed) {
+        RandomGenerator<List<Action>> generator = Action.sequences(steps).generator(GENERATION_SIZE);
+        return new Sequence(runSeed, generator.next(new Random(runSeed)));
+    }
+
+    /** Every run is confined to one thread, so runs do not influence each other. */
+    private List<Result> runAll(List<Sequence> sequences) {
+        try (ExecutorService executor = Executors.newFixedThreadPool(threads)) {
+            List<Future<Result>> futures = sequences.stream()
+                    .map(sequence -> executor.submit(() -> resultOf(sequence)))
+                    .toList();
+            return futures.stream().map(FuzzCommand::await).toList();
+        }
+    }
+
+    private static Result await(Future<Result> future) {
+        try {
+            return future.get();
+        } catch (InterruptedException | ExecutionException exception) {
+            throw new IllegalStateException("a run could not be carried out", exception);
+        }
+    }
+
+    private Result resultOf(Sequence sequence) {
+        Run run = new Run(sequence.seed(), schedulers, false);
+        List<String> violations = run.execute(sequence.actions().value());
+        return new Result(sequence, violations, run.outcomes());
+    }
+
+    private void summarize(List<Result> results) {
+        Map<String, Long> outcomes = new TreeMap<>();
+        results.forEach(
+                result -> result.outcomes().forEach((outcome, count) -> outcomes.merge(outcome, count, Long::sum)));
+        outcomes.forEach((outcome, count) -> System.out.println(outcome + "=" + count));
+        System.out.println("runs=" + runs);
+        System.out.println("steps="
+                + results.stream()
+                        .mapToInt(result -> result.sequence().actions().value().size())
+                        .sum());
+        System.out.println("violations="
+                + results.stream()
+                        .mapToInt(result -> result.violations().size())
+                        .sum());
+    }
+
+    /** Takes the first smaller sequence that still breaks the same promise, again and again. */
+    private List<Action> shrink(Result failed) {
+        long runSeed = failed.sequence().seed();
+        String promise = promiseOf(failed.violations().getFirst());
+        Shrinkable<List<Action>> failing = failed.sequence().actions();
+        Shrinkable<List<Action>> smallest = failing;
+        int[] triesLeft = {shrinkTries};
+        Optional<Shrinkable<List<Action>>> smaller = Optional.of(failing);
+        while (smaller.isPresent()) {
+            smallest = smaller.get();
+            smaller = smallest.shrink()
+                    .takeWhile(candidate -> triesLeft[0]-- > 0)
+                    .filter(candidate -> breaks(runSeed, candidate.value(), promise))
+                    .findFirst();
+        }
+        return smallest.value();
+    }
+
+    private boolean breaks(long runSeed, List<Action> actions, String promise) {
+        return new Run(runSeed, schedulers, false)
+                .execute(actions).stream()
+                        .anyMatch(violation -> promiseOf(violation).equals(promise));
+    }
+
+    private void print(long runSeed, List<Action> actions) {
+        Run run = new Run(runSeed, schedulers, trace);
+        List<String> lines = new ArrayList<>();
+        lines.add("seed " + runSeed + " breaks a promise with " + actions.size() + " actions:");
+        run.execute(actions).forEach(violation -> lines.add("  " + violation));
+        actions.forEach(action -> lines.add("    " + action));
+        lines.addAll(run.traceLines());
+        lines.forEach(System.out::println);
+    }
+
+    private static String promiseOf(String violation) {
+        return violation.substring(0, violation.indexOf(' '));
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Operator.java
@@ -0,0 +1,162 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.teaselwood.model.ServiceState;
+import org.teaselwood.protocol.message.ConfigurationChange;
+import org.teaselwood.protocol.message.FrontReply;
+import org.teaselwood.protocol.message.FrontRequest;
+import org.teaselwood.protocol.message.Principal;
+
+/** The operators of a run: publish changes and look at what is in force. Confined to the thread of the virtual time. */
+final class Operator {
+    private static final long RETRY_MILLISECONDS = 1_000;
+    private static final int MAXIMUM_TRIES = 300;
+
+    private final World world;
+    private final Map<String, ServiceState> wanted = new TreeMap<>();
+    private final Map<String, Long> acceptedAt = new TreeMap<>();
+    private long highestAccepted;
+    private int changes;
+
+    Operator(World world) {
+        this.world = world;
+    }
+
+    /** Asks an entry for the configuration in force there and tells the oracle. */
+    static void showRevision(World world, FakeEntry entry) {
+        entry.ask(new FrontRequest.QueryConfiguration(Principal.OPERATOR), reply -> {
+            if (reply instanceof FrontReply.ConfigurationReply shown) {
+                world.oracle()
+                        .revisionShown(
+                                entry.address().entry(),
+                                shown.configuration().revision(),
+                                world.time().nowMilliseconds());
+            }
+        });
+    }
+
+    /** Publishes the first configuration and tries until it is accepted. */
+    void publishFirst() {
+        publish(Workload.firstChange(), MAXIMUM_TRIES, () -> {});
+    }
+
+    /** Publishes the service state of a backend server; gives up when another change came first. */
+    void publishState(String server, ServiceState state) {
+        List<FakeEntry> ready = world.readyEntries();
+        if (ready.isEmpty()) {
+            return;
+        }
+        FakeEntry entry = ready.get(world.random().nextInt(ready.size()));
+        entry.ask(new FrontRequest.QueryConfiguration(Principal.OPERATOR), reply -> {
+            if (reply instanceof FrontReply.ConfigurationReply shown) {
+                changes++;
+                publish(
+                        Workload.stateChange(
+                                "change-" + changes, shown.configuration().revision(), server, state),
+                        MAXIMUM_TRIES,
+                        () -> stateAccepted(server, state));
+            }
+        });
+    }
+
+    /** Service states that were accepted and are not in service. */
+    List<String> closedServers() {
+        return wanted.entrySet().stream()
+                .filter(entry -> entry.getValue() != ServiceState.IN_SERVICE)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private void publish(ConfigurationChange change, int tries, Runnable accepted) {
+        List<FakeEntry> ready = world.readyEntries();
+        if (tries == 0) {
+            return;
+        }
+        if (ready.isEmpty()) {
+            world.time().schedule(RETRY_MILLISECONDS, () -> publish(change, tries - 1, accepted));
+            return;
+        }
+        FakeEntry entry = ready.get(world.random().nextInt(ready.size()));
+        boolean[] replied = {false};
+        entry.ask(new FrontRequest.ChangeConfiguration(Principal.OPERATOR, change, false), reply -> {
+            replied[0] = true;
+            switch (reply) {
+                case FrontReply.ConfigurationReply done -> {
+                    accepted(done.configuration().revision());
+                    accepted.run();
+                }
+                case FrontReply.Refused refused -> refused(change, refused, tries, accepted);
+                default -> world.oracle().report("P8", world.time().nowMilliseconds(), "unexpected reply " + reply);
+            }
+        });
+        world.time().schedule(10 * RETRY_MILLISECONDS, () -> {
+            if (!replied[0]) {
+                publish(change, tries - 1, accepted);
+            }
+        });
+    }
+
+    private void refused(ConfigurationChange change, FrontReply.Refused refused, int tries, Runnable accepted) {
+        switch (refused.kind()) {
+            case REVISION_MOVED -> {
+                // Another operator was faster, and this one gives up.
+            }
+            case BAD_CONFIGURATION ->
+                world.oracle()
+                        .report("P8", world.time().nowMilliseconds(), "refused a valid change: " + refused.message());
+            default -> world.time().schedule(RETRY_MILLISECONDS, () -> publish(change, tries - 1, accepted));
+        }
+    }
+
+    private void accepted(long revision) {
+        highestAccepted = Math.max(highestAccepted, revision);
+        long acceptedAtTime = world.time().nowMilliseconds();
+        world.time().schedule(Oracle.CONFIGURATION_MILLISECONDS, () -> checkInForce(revision, acceptedAtTime));
+    }
+
+    /** Compares what every ready entry shows when nothing was disturbed since the change was accepted. */
+    private void checkInForce(long revision, long acceptedAtTime) {
+        if (world.disturbedSince(world.time().nowMilliseconds() - acceptedAtTime)) {
+            return;
+        }
+        world.readyEntries()
+                .forEach(entry -> entry.ask(new FrontRequest.QueryConfiguration(Principal.OPERATOR), reply -> {
+                    if (reply instanceof FrontReply.ConfigurationReply shown
+                            && shown.configuration().revision() < revision) {
+                        world.oracle()
+                                .report(
+                                        "P8",
+                                        world.time().nowMilliseconds(),
+                                        entry.address().entry() + " still shows revision "
+                                                + shown.configuration().revision() + ", not " + revision);
+                    }
+                }));
+    }
+
+    private void stateAccepted(String server, ServiceState state) {
+        wanted.put(server, state);
+        long now = world.time().nowMilliseconds();
+        acceptedAt.put(server, now);
+        if (state == ServiceState.IN_SERVICE) {
+            world.oracle().serverOpened(server);
+        } else {
+            closeWhenUndisturbed(server, now);
+        }
+    }
+
+    /** The promise counts from the moment that the network has been whole for its bound. */
+    private void closeWhenUndisturbed(String server, long acceptedAtTime) {
+        world.time().schedule(Oracle.CONFIGURATION_MILLISECONDS, () -> {
+            if (acceptedAt.get(server) != acceptedAtTime) {
+                return;
+            }
+            if (world.disturbedSince(Oracle.CONFIGURATION_MILLISECONDS)) {
+                closeWhenUndisturbed(server, acceptedAtTime);
+            } else {
+                world.oracle().serverClosed(server, world.time().nowMilliseconds());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
@@ -0,0 +1,285 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.teaselwood.model.ServiceState;
+import org.teaselwood.model.Template;
+import org.teaselwood.policy.Scheduler;
+
+/** Carries out one sequence of actions, heals everything, and lets the oracle judge. Confined to one thread. */
+final class Run {
+    private static final long SETTLE_MILLISECONDS = 8_000;
+    private static final long HEAL_LIMIT_MILLISECONDS = 300_000;
+    private static final long HEAL_STEP_MILLISECONDS = 5_000;
+    private static final long REPLACEMENT_MILLISECONDS = 4_000;
+    private static final long AGENT_RESTART_MILLISECONDS = 1_000;
+    private static final int BURST = 12;
+
+    private final World world;
+    private final Operator operator;
+    private int submissions;
+
+    Run(long seed, Supplier<Scheduler> schedulers, boolean tracing) {
+        world = new World(seed, schedulers);
+        operator = new Operator(world);
+        if (tracing) {
+            world.startTracing();
+        }
+    }
+
+    /** Violations of the run, empty when it kept every promise. */
+    List<String> execute(List<Action> actions) {
+        operator.publishFirst();
+        world.advance(SETTLE_MILLISECONDS);
+        actions.forEach(this::step);
+        heal();
+        world.oracle().check(world.time().nowMilliseconds());
+        return world.oracle().violations();
+    }
+
+    /** Outcomes of all callers by template, to see that a run did what it should. */
+    Map<String, Long> outcomes() {
+        return world.callers().stream()
+                .collect(Collectors.groupingBy(
+                        caller -> caller.submission().template().name() + "-"
+                                + caller.outcome().name().toLowerCase(Locale.ROOT),
+                        TreeMap::new,
+                        Collectors.counting()));
+    }
+
+    List<String> traceLines() {
+        return world.traceLines();
+    }
+
+    private void step(Action action) {
+        world.trace("action", action.toString());
+        perform(action);
+        world.advance(20 + action.amount() / 4);
+    }
+
+    private void perform(Action action) {
+        long seconds = 1 + action.amount() % 40;
+        switch (action.kind()) {
+            case ADVANCE -> world.advance(action.amount() * 10L);
+            case SUBMIT -> submit(action);
+            case SUBMIT_BURST -> {
+                for (int index = 0; index < BURST; index++) {
+                    submit(action);
+                }
+            }
+            case CANCEL -> withCaller(action, FakeCaller::cancel);
+            case CANCEL_ALL -> world.callers().forEach(FakeCaller::cancel);
+            case REPEAT_SUBMISSION -> withCaller(action, FakeCaller::repeat);
+            case KILL_ENTRY, STOP_ENTRY, PAUSE_ENTRY -> onEntry(action, seconds);
+            case KILL_AGENT, STOP_AGENT, PAUSE_AGENT, KILL_VM, WORKER_FAILS_EVERYTHING -> onAgent(action, seconds);
+            case KILL_DATA_CENTRE -> killDataCentre(World.DATA_CENTRES.get(action.target() % 3));
+            case CUT_ONE_WAY, CUT_BOTH_WAYS, SLOW_NETWORK, DUPLICATE_MESSAGES -> disturbNetwork(action, seconds);
+            case STORE_DOWN -> storeFault(FakeStore.Mode.DOWN, 2 * seconds);
+            case STORE_SLOW -> storeFault(FakeStore.Mode.SLOW, seconds);
+            case STORE_LOSES_REPLIES -> storeFault(FakeStore.Mode.LOSES_REPLIES, seconds / 4 + 1);
+            case DRAIN -> operator.publishState(server(action), ServiceState.DRAINING);
+            case UNDRAIN -> operator.publishState(server(action), ServiceState.IN_SERVICE);
+            default -> {
+                operator.publishState(server(action), ServiceState.DRAINING);
+                operator.publishState(server(action), ServiceState.IN_SERVICE);
+            }
+        }
+    }
+
+    private void submit(Action action) {
+        submissions++;
+        Template template = Workload.TEMPLATES.get((action.target() + submissions) % Workload.TEMPLATES.size());
+        boolean guaranteed = action.amount() % 3 != 0;
+        boolean repeatable = action.amount() % 5 < 3;
+        world.submit(new Submission(
+                guaranteed ? Workload.GUARANTEED_TEAM : Workload.BORROWING_TEAM,
+                "key-" + submissions,
+                template,
+                Workload.parameters(100 + action.amount() * 20L, action.amount() % 17 == 0),
+                repeatable || !guaranteed && !template.checkpointable(),
+                action.amount() % 7 == 0));
+    }
+
+    private void withCaller(Action action, Consumer<FakeCaller> step) {
+        List<FakeCaller> callers = world.callers();
+        if (!callers.isEmpty()) {
+            step.accept(callers.get(callers.size() - 1 - action.target() % callers.size()));
+        }
+    }
+
+    private void onEntry(Action action, long seconds) {
+        List<FakeEntry> entries = world.entries().stream()
+                .filter(entry -> !entry.isLeaving() && !entry.node().isPaused())
+                .toList();
+        if (entries.isEmpty()) {
+            return;
+        }
+        FakeEntry entry = entries.get(action.target() % entries.size());
+        switch (action.kind()) {
+            case KILL_ENTRY -> killEntry(entry, action.amount() % 2 == 0);
+            case STOP_ENTRY -> stopEntry(entry);
+            default -> {
+                entry.node().pause();
+                world.fault(seconds * 1_000, entry.node()::resume);
+            }
+        }
+    }
+
+    private void killEntry(FakeEntry entry, boolean peersLearn) {
+        entry.node().kill();
+        world.network().disconnect(entry.node(), peersLearn);
+        world.removeEntry(entry);
+        world.fault(
+                REPLACEMENT_MILLISECONDS, () -> world.startEntry(entry.node().dataCentre()));
+    }
+
+    /** A planned replacement: the new entry starts first, then the old one leaves. */
+    private void stopEntry(FakeEntry entry) {
+        world.startEntry(entry.node().dataCentre());
+        world.time().schedule(2 * REPLACEMENT_MILLISECONDS, () -> {
+            if (!entry.node().isDead() && !entry.isLeaving()) {
+                entry.shutDown();
+                exitWhenDrained(entry);
+            }
+        });
+    }
+
+    private void exitWhenDrained(FakeEntry entry) {
+        if (entry.isDrained()) {
+            entry.node().kill();
+            world.network().disconnect(entry.node(), true);
+            world.removeEntry(entry);
+        } else if (!entry.node().isDead()) {
+            world.time().schedule(500, () -> exitWhenDrained(entry));
+        }
+    }
+
+    private void onAgent(Action action, long seconds) {
+        List<FakeAgent> agents = world.agents().stream()
+                .filter(agent -> !agent.isLeaving()
+                        && !agent.node().isPaused()
+                        && !agent.node().isDead())
+                .toList();
+        if (agents.isEmpty()) {
+            return;
+        }
+        FakeAgent agent = agents.get(action.target() % agents.size());
+        switch (action.kind()) {
+            case KILL_AGENT -> killAgent(agent, false);
+            case KILL_VM -> killAgent(agent, true);
+            case STOP_AGENT -> stopAgent(agent);
+            case PAUSE_AGENT -> {
+                agent.node().pause();
+                world.fault(seconds * 1_000, agent.node()::resume);
+            }
+            default -> {
+                agent.worker().setFailsEverything(true);
+                world.fault(seconds * 1_000, () -> agent.worker().setFailsEverything(false));
+            }
+        }
+    }
+
+    private void killAgent(FakeAgent agent, boolean withWorker) {
+        agent.node().kill();
+        world.network().disconnect(agent.node(), !withWorker);
+        if (withWorker) {
+            agent.worker().kill();
+        }
+        world.fault(
+                withWorker ? 2 * REPLACEMENT_MILLISECONDS : AGENT_RESTART_MILLISECONDS,
+                () -> world.startAgent(
+                        agent.server().name(), agent.node().dataCentre(), withWorker ? null : agent.worker()));
+    }
+
+    /** A planned replacement of a backend server: its VM goes when the agent has drained. */
+    private void stopAgent(FakeAgent agent) {
+        agent.shutDown();
+        agent.node()
+                .deliver(() -> world.oracle()
+                        .agentLeaving(
+                                agent.server().name(),
+                                world.time().nowMilliseconds() + Oracle.CONFIGURATION_MILLISECONDS));
+        replaceWhenDrained(agent);
+    }
+
+    private void replaceWhenDrained(FakeAgent agent) {
+        if (agent.isDrained()) {
+            agent.node().kill();
+            world.network().disconnect(agent.node(), true);
+            agent.worker().kill();
+            world.startAgent(agent.server().name(), agent.node().dataCentre(), null);
+        } else if (!agent.node().isDead()) {
+            world.time().schedule(500, () -> replaceWhenDrained(agent));
+        }
+    }
+
+    private void killDataCentre(String dataCentre) {
+        world.entries().stream()
+                .filter(entry -> entry.node().dataCentre().equals(dataCentre))
+                .forEach(entry -> killEntry(entry, false));
+        world.agents().stream()
+                .filter(agent -> agent.node().dataCentre().equals(dataCentre))
+                .filter(agent -> !agent.node().isDead())
+                .forEach(agent -> killAgent(agent, true));
+    }
+
+    private void disturbNetwork(Action action, long seconds) {
+        String from = World.DATA_CENTRES.get(action.target() % 3);
+        String to = World.DATA_CENTRES.get((action.target() + 1 + action.amount() % 2) % 3);
+        switch (action.kind()) {
+            case CUT_ONE_WAY -> world.network().cut(from, to);
+            case CUT_BOTH_WAYS -> {
+                world.network().cut(from, to);
+                world.network().cut(to, from);
+            }
+            case SLOW_NETWORK -> world.network().slowDown(action.amount());
+            default -> world.network().duplicate(0.2);
+        }
+        world.fault(seconds * 1_000, world.network()::healAll);
+    }
+
+    private void storeFault(FakeStore.Mode mode, long seconds) {
+        if (world.store().mode() == FakeStore.Mode.UP) {
+            world.store().setMode(mode);
+            world.fault(seconds * 1_000, () -> world.store().setMode(FakeStore.Mode.UP));
+        }
+    }
+
+    private String server(Action action) {
+        List<FakeAgent> agents = world.agents();
+        return agents.get(action.target() % agents.size()).server().name();
+    }
+
+    /** Waits for the end of all faults, puts all servers in service, and expects every caller to learn its answer. */
+    private void heal() {
+        long limit = world.time().nowMilliseconds() + HEAL_LIMIT_MILLISECONDS;
+        while (world.time().nowMilliseconds() < limit && !isSettled()) {
+            world.advance(HEAL_STEP_MILLISECONDS);
+            if (!world.disturbedSince(1)) {
+                operator.closedServers().stream()
+                        .findFirst()
+                        .ifPresent(server -> operator.publishState(server, ServiceState.IN_SERVICE));
+            }
+        }
+        world.callers().stream()
+                .filter(caller -> !caller.isDone())
+                .forEach(caller -> world.oracle()
+                        .report(
+                                "P3",
+                                world.time().nowMilliseconds(),
+                                caller.submission().identity() + " ("
+                                        + caller.submission().template().name() + ") never learned its answer; outcome "
+                                        + caller.outcome()));
+    }
+
+    private boolean isSettled() {
+        return !world.disturbedSince(1)
+                && operator.closedServers().isEmpty()
+                && world.callers().stream().allMatch(FakeCaller::isDone);
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/VirtualTime.java
@@ -0,0 +1,41 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/**
+ * Virtual time with an agenda. Confined to one thread. Steps that are due at the same time run in the order in which
+ * they were scheduled, so that a run is reproducible.
+ */
+final class VirtualTime {
+    private final PriorityQueue<Step> agenda =
+            new PriorityQueue<>(Comparator.comparingLong(Step::dueMilliseconds).thenComparingLong(Step::sequence));
+    private long nowMilliseconds;
+    private long nextSequence;
+
+    private record Step(long dueMilliseconds, long sequence, Runnable action) {}
+
+    /** A time that begins at the given number of milliseconds. */
+    VirtualTime(long startMilliseconds) {
+        this.nowMilliseconds = startMilliseconds;
+    }
+
+    long nowMilliseconds() {
+        return nowMilliseconds;
+    }
+
+    /** Runs an action after a delay in milliseconds. */
+    void schedule(long delayMilliseconds, Runnable action) {
+        agenda.add(new Step(nowMilliseconds + Math.max(0, delayMilliseconds), nextSequence++, action));
+    }
+
+    /** Runs all steps that are due until the given time, and sets the time to it. */
+    void advanceTo(long untilMilliseconds) {
+        while (!agenda.isEmpty() && agenda.peek().dueMilliseconds() <= untilMilliseconds) {
+            Step step = agenda.poll();
+            nowMilliseconds = step.dueMilliseconds();
+            step.action().run();
+        }
+        nowMilliseconds = untilMilliseconds;
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/World.java
@@ -0,0 +1,194 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.teaselwood.entry.core.EntryCore;
+import org.teaselwood.entry.core.EntryCoreSettings;
+import org.teaselwood.entry.core.EntryEffects;
+import org.teaselwood.model.BackendServer;
+import org.teaselwood.policy.Scheduler;
+import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+
+/**
+ * The simulated region of one run: entries, agents, workers, network, key-value service and callers. Confined to one
+ * thread; the same seed and actions give the same run.
+ */
+final class World {
+    /** The data centres, one entry and two backend servers in each. */
+    static final List<String> DATA_CENTRES = List.of("north", "south", "west");
+
+    private static final String REGION = "region";
+    private static final long START_MILLISECONDS = 1_000_000;
+    private static final int SERVERS_PER_DATA_CENTRE = 2;
+    private static final int INTERNAL_PORT = 7_000;
+    private static final long REVISION_QUERY_MILLISECONDS = 500;
+
+    private final VirtualTime time = new VirtualTime(START_MILLISECONDS);
+    private final RandomGenerator random;
+    private final FakeNetwork network;
+    private final FakeStore store = new FakeStore(time);
+    private final Oracle oracle = new Oracle();
+    private final Supplier<Scheduler> schedulers;
+    private final List<String> trace = new ArrayList<>();
+    private final TreeMap<String, FakeEntry> entries = new TreeMap<>();
+    private final TreeMap<String, FakeAgent> agents = new TreeMap<>();
+    private final List<FakeCaller> callers = new ArrayList<>();
+    private int startedProcesses;
+    private int activeFaults;
+    private long lastFaultEnded;
+    private boolean tracing;
+
+    World(long seed, Supplier<Scheduler> schedulers) {
+        this.random = new SplittableRandom(seed);
+        this.network = new FakeNetwork(time, random);
+        this.schedulers = schedulers;
+        DATA_CENTRES.forEach(this::startEntry);
+        DATA_CENTRES.forEach(dataCentre -> {
+            for (int index = 0; index < SERVERS_PER_DATA_CENTRE; index++) {
+                startAgent(dataCentre + "-" + index, dataCentre, null);
+            }
+        });
+        store.watchConfiguration(() -> entries.values().forEach(FakeEntry::configurationMayHaveChanged));
+        queryRevisions();
+    }
+
+    static String hostPort(EntryAddress address) {
+        return address.host() + ":" + address.port();
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    FakeNetwork network() {
+        return network;
+    }
+
+    FakeStore store() {
+        return store;
+    }
+
+    Oracle oracle() {
+        return oracle;
+    }
+
+    List<FakeCaller> callers() {
+        return callers;
+    }
+
+    List<FakeEntry> entries() {
+        return List.copyOf(entries.values());
+    }
+
+    List<FakeAgent> agents() {
+        return List.copyOf(agents.values());
+    }
+
+    void startTracing() {
+        tracing = true;
+    }
+
+    List<String> traceLines() {
+        return trace;
+    }
+
+    void trace(String process, String text) {
+        if (tracing) {
+            trace.add((time.nowMilliseconds() - START_MILLISECONDS) + " " + process + ": " + text);
+        }
+    }
+
+    /** Addresses that the balancer would give: entries that are not known to be gone. */
+    List<EntryAddress> balancer() {
+        return entries.values().stream()
+                .filter(entry -> !entry.node().isDead() && !entry.isLeaving())
+                .map(FakeEntry::address)
+                .toList();
+    }
+
+    List<FakeEntry> readyEntries() {
+        return entries.values().stream().filter(FakeEntry::isReady).toList();
+    }
+
+    EntryCore newCore(EntryAddress address, EntryEffects effects) {
+        return new EntryCore(
+                EntryCoreSettings.of(address, REGION, "start-" + startedProcesses, balancer(), 0),
+                schedulers.get(),
+                effects);
+    }
+
+    /** Starts an entry with a new identifier and address, as a replaced VM has them. */
+    void startEntry(String dataCentre) {
+        startedProcesses++;
+        String name = "entry-" + startedProcesses;
+        Node node = new Node(name, dataCentre);
+        entries.put(name, new FakeEntry(this, node, new EntryAddress(name, dataCentre, name, INTERNAL_PORT)));
+        trace(name, "starts in " + dataCentre);
+    }
+
+    /** Starts an agent; with a worker that goes on running when only the agent was replaced. */
+    void startAgent(String server, String dataCentre, FakeWorker runningWorker) {
+        startedProcesses++;
+        FakeWorker worker = runningWorker == null ? new FakeWorker(time, server, oracle) : runningWorker;
+        BackendServer description = new BackendServer(
+                server,
+                REGION,
+                dataCentre,
+                dataCentre + "-rack",
+                Set.of(),
+                Workload.ACCELERATORS,
+                32,
+                131_072,
+                8,
+                64,
+                1.0);
+        Node node = new Node("agent-" + server + "-" + startedProcesses, dataCentre);
+        agents.put(server, new FakeAgent(this, node, description, "start-" + startedProcesses, worker));
+        oracle.agentReplaced(server);
+        trace(node.name(), "starts");
+    }
+
+    void removeEntry(FakeEntry entry) {
+        entries.remove(entry.address().entry());
+    }
+
+    /** A fault begins and ends by itself after its duration. */
+    void fault(long durationMilliseconds, Runnable end) {
+        activeFaults++;
+        time.schedule(durationMilliseconds, () -> {
+            activeFaults--;
+            lastFaultEnded = time.nowMilliseconds();
+            end.run();
+        });
+    }
+
+    /** Whether a fault was there at any moment of the last milliseconds. */
+    boolean disturbedSince(long milliseconds) {
+        return activeFaults > 0 || time.nowMilliseconds() - lastFaultEnded < milliseconds;
+    }
+
+    void advance(long milliseconds) {
+        time.advanceTo(time.nowMilliseconds() + milliseconds);
+        oracle.check(time.nowMilliseconds());
+    }
+
+    void submit(Submission submission) {
+        FakeCaller caller = new FakeCaller(this, submission);
+        callers.add(caller);
+        caller.begin();
+    }
+
+    private void queryRevisions() {
+        entries.values().stream().filter(FakeEntry::isReady).forEach(entry -> Operator.showRevision(this, entry));
+        time.schedule(REVISION_QUERY_MILLISECONDS, this::queryRevisions);
+    }
+}
