--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
@@ -3,8 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import org.teaselwood.entry.core.EntryContext;
 import org.teaselwood.entry.core.Outbox;
 import org.teaselwood.entry.core.Requester;
@@ -33,6 +36,11 @@
 public final class Placer {
     private static final int MAXIMUM_QUEUED = 4_096;
     private static final long RECORDS_RETRY_MILLISECONDS = 1_000;
+    /** A placer that was in office for this time is not one of two that displace each other. */
+    private static final long SETTLED_MILLISECONDS = 30_000;
+
+    private static final int MAXIMUM_DOUBLINGS = 3;
+    private static final long ASK_MILLISECONDS = 500;
     private static final long TRIM_MILLISECONDS = 1_000;
 
     private final EntryContext context;
@@ -42,12 +50,17 @@
     private final PlacerState state;
     private final RegionWork work;
     private final Deque<Queued> queued = new ArrayDeque<>();
-    private final Set<String> unanswered = new TreeSet<>();
+    /** Relays that have sent all their snapshots under the present term over their present connection. */
+    private final Set<String> answered = new TreeSet<>();
+    /** Time of the newest request for snapshots, by relay. */
+    private final Map<String, Long> askedAt = new TreeMap<>();
 
     private Role role = Role.PASSIVE;
     private Term requested = Term.NONE;
     private long collectingSince;
     private long holdOffUntil = Long.MIN_VALUE;
+    private long activatedAt;
+    private int displacements;
     private boolean readingRecords;
     private long recordsReadAt = Long.MIN_VALUE;
     /** Rises with every change of the role, so that late replies of the key-value service are ignored. */
@@ -142,11 +155,14 @@
     /** A relay sent all its snapshots, or refused because it knows a higher term. */
     public void snapshotsComplete(String relay, EntryMessage.SnapshotComplete message) {
         context.observeTerm(message.highest());
-        if (role != Role.COLLECTING || !message.term().equals(requested)) {
+        if (role == Role.PASSIVE || !message.term().equals(placingTerm())) {
             return;
         }
-        if (message.highest().compareTo(requested) <= 0) {
-            unanswered.remove(relay);
+        if (message.highest().compareTo(message.term()) <= 0) {
+            answered.add(relay);
+        } else if (role == Role.ACTIVE) {
+            // The next tick steps down for the higher term.
+            return;
         } else if (membership.ranksAboveSelf(message.highest().entry())) {
             deactivate();
         } else {
@@ -157,14 +173,14 @@
     /** A relay reports silent agents. */
     public void silent(String relay, EntryMessage.SilentAgents message) {
         if (role != Role.PASSIVE && work.silent(relay, message)) {
-            membership.alive().forEach(this::askRelay);
-            askRelay(context.self());
+            relays().forEach(this::askRelay);
         }
     }
 
     /** Another entry connected (again): what it sent over an earlier connection may be lost. */
     public void entryConnected(String entry) {
-        if (role == Role.ACTIVE) {
+        answered.remove(entry);
+        if (role != Role.PASSIVE) {
             askRelay(entry);
         }
     }
@@ -208,12 +224,11 @@
             boolean above = membership.ranksAboveSelf(highest.entry());
             context.effects().logged("stepping down from " + state.term() + " for " + highest, "", "");
             deactivate();
-            holdOffUntil = above || !first
-                    ? Long.MIN_VALUE
-                    : context.now() + context.timings().suspicionMilliseconds();
+            holdOffUntil = above || !first ? Long.MIN_VALUE : context.now() + holdOff(highest.entry());
             return;
         }
-        work.relaysLost(entry -> membership.isAlive(entry));
+        work.relaysLost(membership::isAlive);
+        askAgain();
         work.tick();
         if (!state.recordsLoaded() && context.now() - RECORDS_RETRY_MILLISECONDS >= recordsReadAt) {
             readRecords();
@@ -224,6 +239,20 @@
         }
     }
 
+    /**
+     * Time until a higher term is taken. When the other placer cannot be reached from here, but both reach common
+     * entries, both would go on displacing each other; the time is doubled with each displacement.
+     */
+    private long holdOff(String other) {
+        long delay = context.timings().suspicionMilliseconds();
+        if (membership.isAlive(other)) {
+            return delay;
+        }
+        boolean settled = context.now() - activatedAt >= SETTLED_MILLISECONDS;
+        displacements = settled ? 0 : Math.min(MAXIMUM_DOUBLINGS, displacements + 1);
+        return delay << displacements;
+    }
+
     private void collect() {
         role = Role.COLLECTING;
         epoch++;
@@ -236,15 +265,30 @@
     private void askRelays() {
         requested = context.highestTerm().next(context.self());
         context.observeTerm(requested);
-        unanswered.clear();
-        unanswered.addAll(membership.alive());
-        unanswered.add(context.self());
-        unanswered.forEach(this::askRelay);
+        answered.clear();
+        askedAt.clear();
+        relays().forEach(this::askRelay);
     }
 
     private void askRelay(String relay) {
-        Term term = role == Role.ACTIVE ? state.term() : requested;
-        outbox.toEntry(relay, new EntryMessage.SnapshotRequest(term));
+        askedAt.put(relay, context.now());
+        outbox.toEntry(relay, new EntryMessage.SnapshotRequest(placingTerm()));
+    }
+
+    /** Asks the relays that came back, and repeats what was not answered. */
+    private void askAgain() {
+        answered.removeIf(relay -> !membership.isAlive(relay));
+        relays().filter(relay -> !answered.contains(relay))
+                .filter(relay -> context.now() - ASK_MILLISECONDS >= askedAt.getOrDefault(relay, Long.MIN_VALUE))
+                .forEach(this::askRelay);
+    }
+
+    private Stream<String> relays() {
+        return Stream.concat(Stream.of(context.self()), membership.alive().stream());
+    }
+
+    private Term placingTerm() {
+        return role == Role.ACTIVE ? state.term() : requested;
     }
 
     private void readRecords() {
@@ -270,9 +314,9 @@
     }
 
     private boolean collected() {
-        unanswered.removeIf(relay -> !membership.isAlive(relay));
+        askAgain();
         boolean late = context.now() - collectingSince >= context.timings().snapshotMilliseconds();
-        return late || unanswered.isEmpty() && state.recordsLoaded();
+        return late || relays().allMatch(answered::contains) && state.recordsLoaded();
     }
 
     private void activate() {
@@ -281,6 +325,7 @@
                 : context.highestTerm().next(context.self());
         context.observeTerm(term);
         role = Role.ACTIVE;
+        activatedAt = context.now();
         state.begin(term);
         List<JobRecord> copy = List.copyOf(mirror.copy());
         mirror.dropCopy();
