--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/WorkerClient.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/WorkerClient.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -63,9 +64,17 @@
         return call instanceof WorkerCall.ListTasks listing ? listing.waitMilliseconds() : 0;
     }
 
+    /** Length of the body, so that a large answer is not copied while its buffer grows. */
+    private static int declaredLength(HttpClientResponse response) {
+        String length = response.getHeader(HttpHeaders.CONTENT_LENGTH);
+        return length != null && length.matches("[0-9]{1,7}")
+                ? Math.min(MAXIMUM_REPLY_BYTES, Integer.parseInt(length))
+                : 0;
+    }
+
     private static Future<Buffer> readBody(HttpClientResponse response) {
         Promise<Buffer> promise = Promise.promise();
-        Buffer body = Buffer.buffer();
+        Buffer body = Buffer.buffer(declaredLength(response));
         response.handler(chunk -> {
             if (body.length() + chunk.length() > MAXIMUM_REPLY_BYTES) {
                 promise.tryFail(TeaselwoodException.of(ErrorKind.BODY_TOO_LARGE, MAXIMUM_REPLY_BYTES));
