--- /dev/null
+++ b/teaselwood-agent/src/test/java/org/teaselwood/agent/core/AgentCoreTest.java
@@ -0,0 +1,52 @@
+package org.teaselwood.agent.core;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Runs the scenarios of agent-scenarios.txt, each of which states the failure that it guards against. */
+class AgentCoreTest {
+    /** A scenario with its expectations. */
+    record Scenario(String name, String text) {
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    static List<Scenario> scenarios() throws IOException {
+        try (InputStream stream = AgentCoreTest.class.getResourceAsStream("agent-scenarios.txt")) {
+            String text = new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+            return Arrays.stream(text.split("\n== "))
+                    .skip(1)
+                    .map(AgentCoreTest::scenario)
+                    .toList();
+        }
+    }
+
+    private static Scenario scenario(String block) {
+        Stream<String> lines = block.lines().skip(1).filter(line -> !line.isBlank() && !line.startsWith("#"));
+        return new Scenario(block.lines().findFirst().orElseThrow(), lines.collect(Collectors.joining("\n")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("scenarios")
+    void what_happens_is_what_the_scenario_says(Scenario scenario) {
+        assertThat(new ScenarioRunner().run(scenario.text())).isEqualTo(scenario.text());
+    }
+
+    /** Guards against a hidden clock, random number or unordered collection in the core. */
+    @ParameterizedTest
+    @MethodSource("scenarios")
+    void the_same_events_give_the_same_effects(Scenario scenario) {
+        assertThat(new ScenarioRunner().run(scenario.text())).isEqualTo(new ScenarioRunner().run(scenario.text()));
+    }
+}
