Wait until a change is in force everywhere, and answer malformed HTTP

Cause: a client that published at one entry and submitted at another could meet a placer with the older revision (seen once in two runs of the cluster's tests). An oversize header was answered without a problem document. Change: apply waits up to 10 s until the lowest revision of the region has reached the published one, and says so; malformed HTTP gets a problem document.

--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/ApplyCommand.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/ApplyCommand.java
@@ -34,18 +34,26 @@
         ConfigurationDifference difference = ConfigurationDifference.between(inForce, declared);
         Configuration result =
                 difference.isEmpty() ? inForce : publish(client, DeclarationChange.of(inForce, difference));
+        boolean everywhere = !dryRun && new RevisionWaiter(client).await(result.revision());
         JsonObject json = new JsonObject()
                 .put("dryRun", dryRun)
                 .put("revision", result.revision())
+                .put("inForceEverywhere", everywhere)
                 .put("differences", new JsonArray(difference.lines()));
-        String summary = difference.isEmpty()
-                ? "nothing to change; revision " + result.revision() + " is in force"
-                : String.join("\n", difference.lines()) + "\n"
-                        + (dryRun ? "accepted by the check; nothing was changed" : "revision " + result.revision());
-        write(console, json, summary);
+        difference.lines().stream().filter(line -> !json()).forEach(console::line);
+        write(console, json, summary(difference.isEmpty(), result.revision(), everywhere));
         return ExitCode.OK;
     }
 
+    private String summary(boolean unchanged, long revision, boolean everywhere) {
+        if (dryRun) {
+            return "accepted by the check; nothing was changed";
+        }
+        return (unchanged ? "nothing to change; revision " : "revision ")
+                + revision
+                + (everywhere ? " is in force everywhere" : " is accepted, but not yet in force at every entry");
+    }
+
     private Configuration publish(EntryClient client, ConfigurationChange change) {
         for (int tries = 1; true; tries++) {
             try {
@@ -54,17 +62,8 @@
                 if (tries == TRIES || exception.code() != ExitCode.UNAVAILABLE) {
                     throw exception;
                 }
-                pause();
+                JobWaiter.pause(PAUSE_MILLISECONDS);
             }
         }
     }
-
-    private static void pause() {
-        try {
-            Thread.sleep(PAUSE_MILLISECONDS);
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-            throw new CommandException(ExitCode.INTERNAL, "interrupted");
-        }
-    }
 }
--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/JobWaiter.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/JobWaiter.java
@@ -47,7 +47,12 @@
         }
     }
 
-    private static void pause(long milliseconds) {
+    /**
+     * Sleeps.
+     *
+     * @throws CommandException with INTERNAL when interrupted
+     */
+    public static void pause(long milliseconds) {
         try {
             Thread.sleep(milliseconds);
         } catch (InterruptedException exception) {
--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/demo/ClusterClients.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/demo/ClusterClients.java
@@ -6,6 +6,8 @@
 import org.teaselwood.cli.DeclarationChange;
 import org.teaselwood.cli.EntryClient;
 import org.teaselwood.cli.ExitCode;
+import org.teaselwood.cli.JobWaiter;
+import org.teaselwood.cli.RevisionWaiter;
 import org.teaselwood.model.Configuration;
 import org.teaselwood.store.configuration.ConfigurationDifference;
 
@@ -36,24 +38,23 @@
             } catch (CommandException exception) {
                 last = exception.getMessage();
             }
-            pause();
+            JobWaiter.pause(PAUSE_MILLISECONDS);
         }
         throw new CommandException(ExitCode.UNAVAILABLE, "the cluster did not get ready: " + last);
     }
 
-    /** Publishes declarations; returns the configuration in force. */
+    /**
+     * Publishes declarations and waits until they are in force everywhere; returns the configuration in force.
+     *
+     * @throws CommandException with UNAVAILABLE if they are not after 10 s
+     */
     static Configuration publish(EntryClient client, Configuration declared) {
         Configuration inForce = client.configuration();
         ConfigurationDifference difference = ConfigurationDifference.between(inForce, declared);
-        return client.change(DeclarationChange.of(inForce, difference), false);
-    }
-
-    private static void pause() {
-        try {
-            Thread.sleep(PAUSE_MILLISECONDS);
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-            throw new CommandException(ExitCode.INTERNAL, "interrupted");
+        Configuration published = client.change(DeclarationChange.of(inForce, difference), false);
+        if (!new RevisionWaiter(client).await(published.revision())) {
+            throw new CommandException(ExitCode.UNAVAILABLE, "the declarations are not in force at every entry");
         }
+        return published;
     }
 }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/http/HttpFront.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/HttpFront.java
@@ -48,6 +48,7 @@
     public Future<Integer> listen() {
         return vertx.createHttpServer(settings.options())
                 .requestHandler(router())
+                .invalidRequestHandler(Problems::malformed)
                 .listen()
                 .map(listening -> {
                     server = listening;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/http/Problems.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/Problems.java
@@ -1,6 +1,7 @@
 package org.teaselwood.entry.http;
 
 import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.RoutingContext;
@@ -41,6 +42,17 @@
         }
     }
 
+    /** Answers what is not HTTP, or has an oversize request line or header, and closes the connection. */
+    static void malformed(HttpServerRequest request) {
+        Refused refused = Refused.of(ErrorKind.BAD_REQUEST, "malformed HTTP or an oversize request line or header");
+        request.response()
+                .setStatusCode(STATUS_CLIENT_ERROR)
+                .putHeader(HttpHeaders.CONTENT_TYPE, CONTENT_TYPE)
+                .putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE)
+                .end(documentOf(refused, STATUS_CLIENT_ERROR).toBuffer())
+                .onComplete(ignored -> request.connection().close());
+    }
+
     /** Answers with the status of the error table. */
     void refuse(RoutingContext context, Refused refused) {
         refuseWithStatus(context, refused, ErrorAnswer.of(refused.kind()).httpStatus());
@@ -55,23 +67,25 @@
             response.reset();
             return;
         }
-        boolean retryable = ErrorAnswer.of(refused.kind()).retryable();
-        if (retryable) {
+        if (ErrorAnswer.of(refused.kind()).retryable()) {
             response.putHeader(HttpHeaders.RETRY_AFTER, RETRY_SECONDS);
         }
         if (status == STATUS_UNAUTHENTICATED) {
             response.putHeader("WWW-Authenticate", "Bearer, Basic realm=\"teaselwood\"");
         }
-        JsonObject problem = new JsonObject()
+        response.setStatusCode(status)
+                .putHeader(HttpHeaders.CONTENT_TYPE, CONTENT_TYPE)
+                .end(documentOf(refused, status).toBuffer());
+    }
+
+    private static JsonObject documentOf(Refused refused, int status) {
+        return new JsonObject()
                 .put("type", "urn:teaselwood:error:" + refused.kind().code())
                 .put("title", refused.kind().code())
                 .put("status", status)
                 .put("detail", refused.message())
                 .put("errorKind", refused.kind().code())
                 .put("outcome", JobJson.code(refused.outcome()))
-                .put("retryable", retryable);
-        response.setStatusCode(status)
-                .putHeader(HttpHeaders.CONTENT_TYPE, CONTENT_TYPE)
-                .end(problem.toBuffer());
+                .put("retryable", ErrorAnswer.of(refused.kind()).retryable());
     }
 }
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/process/HttpFrontTest.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/process/HttpFrontTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
 import java.net.URI;
@@ -67,8 +68,8 @@
 
     @AfterEach
     void stop() throws Exception {
-        process.shutdown().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
-        vertx.close();
+        process.closeNow();
+        vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
     }
 
     @ParameterizedTest
@@ -106,6 +107,14 @@
         assertThat(new JsonObject(response.body()).getString("errorKind")).isEqualTo(kind);
     }
 
+    @Test
+    void an_oversize_header_is_refused_with_a_problem_document() throws Exception {
+        HttpResponse<String> response = send("w".repeat(20_000), "GET", "/v1/jobs/j-1", "");
+
+        assertThat(response.statusCode()).isEqualTo(400);
+        assertThat(new JsonObject(response.body()).getString("errorKind")).isEqualTo("bad-request");
+    }
+
     @Test
     void an_oversize_body_is_refused_before_it_reaches_the_core() throws Exception {
         HttpResponse<String> response = send("w-token", "POST", "/v1/jobs", "{\"team\":\"" + "a".repeat(9_000) + "\"}");
@@ -169,7 +178,7 @@
         while (core.eventsOf(EntryEvent.FrontRequested.class).isEmpty()) {
             Thread.sleep(5);
         }
-        process.shutdown();
+        Future<Void> stopped = process.shutdown();
 
         assertThat(send("none", "GET", "/readyz", "").statusCode()).isEqualTo(503);
         assertThat(send("none", "GET", "/healthz", "").statusCode()).isEqualTo(200);
@@ -182,6 +191,7 @@
         HttpResponse<String> response = open.get(5, TimeUnit.SECONDS);
         assertThat(response.statusCode()).isEqualTo(200);
         assertThat(response.headers().firstValue("connection")).hasValue("close");
+        stopped.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
     }
 
     @Test
