Decode numbers in maps and close a connection after an internal fault

Cause: a region view with waiting or running jobs could not be decoded, because the codec knew int but not Integer. The exception was not one of the codec's own, so the connection stayed open and lost its following frames; queries forwarded to the placer then took 3 to 6 s. Seen in the test that kills a placer, where a status query took 6 s and the gang had ended before the kill. Change: the codec takes boxed numbers; any other exception closes the connection.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageConnection.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageConnection.java
@@ -139,6 +139,10 @@
         } catch (TeaselwoodException exception) {
             LOGGER.warn("closing the connection to {}: {}", socket.remoteAddress(), exception.getMessage());
             close();
+        } catch (RuntimeException exception) {
+            // A fault of this process must not leave a connection open on which the following frames are lost.
+            LOGGER.error("closing the connection to {} after a fault", socket.remoteAddress(), exception);
+            close();
         }
     }
 
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/RecordCodec.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/RecordCodec.java
@@ -106,13 +106,13 @@
             return unpackCollection(unpacker, parameterized);
         }
         Class<?> declared = (Class<?>) type;
-        if (declared == int.class) {
+        if (declared == int.class || declared == Integer.class) {
             return unpacker.unpackInt();
-        } else if (declared == long.class) {
+        } else if (declared == long.class || declared == Long.class) {
             return unpacker.unpackLong();
-        } else if (declared == double.class) {
+        } else if (declared == double.class || declared == Double.class) {
             return unpacker.unpackDouble();
-        } else if (declared == boolean.class) {
+        } else if (declared == boolean.class || declared == Boolean.class) {
             return unpacker.unpackBoolean();
         } else if (declared == String.class) {
             return unpacker.unpackString();
--- a/teaselwood-protocol/src/test/java/org/teaselwood/protocol/MessageCodecTest.java
+++ b/teaselwood-protocol/src/test/java/org/teaselwood/protocol/MessageCodecTest.java
@@ -33,6 +33,7 @@
 import org.teaselwood.protocol.message.EntryMessage;
 import org.teaselwood.protocol.message.FrontReply;
 import org.teaselwood.protocol.message.Message;
+import org.teaselwood.protocol.message.RegionView;
 import org.teaselwood.protocol.message.TaskSpecification;
 
 /** Tests of the message codec on one message of every component type. */
@@ -81,6 +82,18 @@
                 new EntryMessage.FromAgents(
                         "entry-1",
                         List.of(new EntryMessage.FromAgent("w1", "i", new AgentMessage.PartChanged(REPORT)))),
+                new FrontReply.RegionReply(new RegionView(
+                        "r",
+                        "entry-1",
+                        new Term(4, "entry-1"),
+                        7,
+                        6,
+                        true,
+                        0.25,
+                        List.of(),
+                        List.of(),
+                        Map.of("winding", 2),
+                        Map.of())),
                 new FrontReply.ConfigurationReply(new Configuration(
                         3, Map.of("render", template), Map.of(), Map.of("w1", ServiceState.DRAINING))));
     }
