Close the ways in which a task could run twice or overlap another

Cause: random commands, pauses, restarts and lost calls found four faults in the agent core and the worker's calls. A run whose reply was lost was repeated at a restarted worker that did not know it. A delayed run was carried out after its task had been forgotten. A lost task could still run while its accelerators were granted again. ForgetAttempt shortened an earlier fence.

Change: Run names the incarnation of the worker that it is meant for; a refusal by a restarted worker after an ambiguous call makes the part lost. The worker refuses forgotten tasks for ten minutes. Resources of a lost part stay reserved until the worker says that it does not run. Adopted tasks that have ended hold no resources. Fences never get shorter, and the ledger counts uses of each accelerator, so that overlapping adopted tasks are freed one by one.

--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/CommandHandler.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/CommandHandler.java
@@ -203,7 +203,9 @@
         if (parts.fences().full() && !parts.fences().isFenced(attempt)) {
             return;
         }
-        parts.fence(attempt, null, now);
+        if (parts.of(attempt).stream().anyMatch(part -> !part.phase.mayHaveRun())) {
+            parts.fence(attempt, null, now);
+        }
         parts.fences().forget(attempt, now);
         for (Part part : parts.of(attempt)) {
             part.forgotten = true;
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/FenceTable.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/FenceTable.java
@@ -57,9 +57,15 @@
         put(attempt, now + AgentTimings.FENCE_MILLISECONDS);
     }
 
-    /** Refuses an attempt whose final record is stored, and reports nothing of it any more. */
+    /** Refuses an attempt whose final record is stored, and reports nothing of it any more; no fence gets shorter. */
     void forget(AttemptIdentifier attempt, long now) {
-        put(attempt, now + AgentTimings.FORGOTTEN_FENCE_MILLISECONDS);
+        long earlier = parts.entrySet().stream()
+                .filter(part -> part.getKey().attempt().equals(attempt))
+                .mapToLong(part -> part.getValue().until())
+                .max()
+                .orElse(0);
+        long until = Math.max(earlier, now + AgentTimings.FORGOTTEN_FENCE_MILLISECONDS);
+        put(attempt, Math.max(until, attempts.getOrDefault(attempt, 0L)));
         parts.keySet().removeIf(task -> task.attempt().equals(attempt));
     }
 
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/Part.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/Part.java
@@ -30,6 +30,12 @@
     /** When the worker stops the task unless the lease is renewed; afterwards its state must be read again. */
     long leaseEnd;
 
+    /** Calls of Run. With more than one, a refusal of the last says nothing about the others. */
+    int runCalls;
+
+    /** Incarnation of the worker that the first of them was meant for; repeats are meant for no other. */
+    long workerIncarnation;
+
     /** When the present call for this task is repeated. */
     long nextCall;
 
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/PartTable.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/PartTable.java
@@ -28,6 +28,7 @@
             "", "", "", Map.of(), PartResources.ofAccelerators(0), 0, 0, false, false, false, false, 0, "", "");
 
     private final NavigableMap<TaskIdentifier, Part> parts = new TreeMap<>();
+    private final NavigableMap<TaskIdentifier, Part> ghosts = new TreeMap<>();
     private final FenceTable fences = new FenceTable();
     private final ResourceLedger ledger;
     private final EntryLink link;
@@ -85,6 +86,28 @@
         }
     }
 
+    /** Moves a part that may still run at the worker to LOST; its resources stay reserved until it surely ended. */
+    void loseUncertainly(Part part, long now) {
+        ledger.reserve(part.specification.resources(), part.firstAccelerator);
+        ghosts.put(part.task, part);
+        change(part, PartPhase.LOST, now);
+    }
+
+    /** Lost parts that may still run. */
+    List<Part> ghosts() {
+        return List.copyOf(ghosts.values());
+    }
+
+    boolean isGhost(TaskIdentifier task) {
+        return ghosts.containsKey(task);
+    }
+
+    /** A lost part surely ended. */
+    void ended(Part ghost) {
+        ghosts.remove(ghost.task);
+        ledger.free(ghost.specification.resources(), ghost.firstAccelerator);
+    }
+
     /** Moves a part to another phase and reports it. */
     void change(Part part, PartPhase phase, long now) {
         changeSilently(part, phase, now);
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/ResourceLedger.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/ResourceLedger.java
@@ -1,6 +1,7 @@
 package org.teaselwood.agent.core;
 
-import java.util.BitSet;
+import java.util.Arrays;
+import java.util.stream.IntStream;
 import org.teaselwood.model.BackendServer;
 import org.teaselwood.model.PartResources;
 
@@ -10,13 +11,14 @@
  */
 final class ResourceLedger {
     private final BackendServer server;
-    private final BitSet usedAccelerators = new BitSet();
+    private final int[] usesOfAccelerator;
     private long usedSlots;
     private long usedCores;
     private long usedMemoryMebibytes;
 
     ResourceLedger(BackendServer server) {
         this.server = server;
+        this.usesOfAccelerator = new int[server.accelerators()];
     }
 
     /** Why the resources cannot be reserved; empty when they can. */
@@ -25,8 +27,7 @@
         if (resources.accelerators() > 0 && (firstAccelerator < 0 || end > server.accelerators())) {
             return "accelerators " + firstAccelerator + " to " + (end - 1) + " do not exist";
         }
-        if (resources.accelerators() > 0
-                && usedAccelerators.get(firstAccelerator, (int) end).cardinality() > 0) {
+        if (resources.accelerators() > 0 && uses(firstAccelerator, (int) end).sum() > 0) {
             return "accelerators " + firstAccelerator + " to " + (end - 1) + " are not all free";
         }
         if (usedSlots + resources.slots() > server.slots()) {
@@ -41,22 +42,26 @@
         return "";
     }
 
-    /** Takes the resources, also when they exceed what is free: adopted tasks run already. */
+    /** Takes the resources, also when they exceed what is free or overlap: adopted tasks run already. */
     void reserve(PartResources resources, int firstAccelerator) {
-        if (resources.accelerators() > 0 && firstAccelerator >= 0) {
-            usedAccelerators.set(firstAccelerator, firstAccelerator + resources.accelerators());
-        }
-        usedSlots += resources.slots();
-        usedCores += resources.cores();
-        usedMemoryMebibytes += resources.memoryMebibytes();
+        count(resources, firstAccelerator, 1);
     }
 
     void free(PartResources resources, int firstAccelerator) {
-        if (resources.accelerators() > 0 && firstAccelerator >= 0) {
-            usedAccelerators.clear(firstAccelerator, firstAccelerator + resources.accelerators());
+        count(resources, firstAccelerator, -1);
+    }
+
+    private void count(PartResources resources, int firstAccelerator, int sign) {
+        int end = Math.min(usesOfAccelerator.length, firstAccelerator + resources.accelerators());
+        for (int accelerator = Math.max(0, firstAccelerator); accelerator < end; accelerator++) {
+            usesOfAccelerator[accelerator] += sign;
         }
-        usedSlots -= resources.slots();
-        usedCores -= resources.cores();
-        usedMemoryMebibytes -= resources.memoryMebibytes();
+        usedSlots += sign * resources.slots();
+        usedCores += sign * resources.cores();
+        usedMemoryMebibytes += sign * resources.memoryMebibytes();
+    }
+
+    private IntStream uses(int first, int end) {
+        return Arrays.stream(usesOfAccelerator, first, end);
     }
 }
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/TaskTracker.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/TaskTracker.java
@@ -36,9 +36,14 @@
     void adopted(WorkerReply.Adopted adopted, WorkerCalls.Pending pending, long now) {
         for (WorkerReply.AdoptedTask task : adopted.tasks()) {
             TaskIdentifier identifier = task.status().task();
-            if (parts.find(identifier) == null && !parts.fences().isFenced(identifier.attempt())) {
+            boolean known = parts.find(identifier) != null || parts.isGhost(identifier);
+            if (!known && !parts.fences().isFenced(identifier.attempt())) {
                 Part part = new Part(identifier, task.specification(), task.firstAccelerator());
-                part.phase = PartPhase.RUNNING;
+                part.phase = phaseOf(task.status().state());
+                part.failure = task.status().failure();
+                part.confirmedBy = pending.token();
+                part.nextCheckpoint = now + AgentTimings.CHECKPOINT_MILLISECONDS;
+                part.measure(task.status());
                 part.changedAt = now;
                 part.gangDeadline = now + AgentTimings.GANG_LEASE_MILLISECONDS;
                 parts.add(part);
@@ -47,6 +52,7 @@
         }
         listed(
                 new WorkerReply.Tasks(
+                        adopted.workerIncarnation(),
                         adopted.version(),
                         adopted.tasks().stream()
                                 .map(WorkerReply.AdoptedTask::status)
@@ -56,15 +62,26 @@
         parts.live().toList().forEach(part -> settleAdopted(part, pending, now));
     }
 
+    /** Phase of an adopted task. The answer of a succeeded one is fetched from the worker when it is sent. */
+    private static PartPhase phaseOf(WorkerTask.State state) {
+        return switch (state) {
+            case RUNNING -> PartPhase.RUNNING;
+            case SUCCEEDED -> PartPhase.SUCCEEDED;
+            case FAILED -> PartPhase.FAILED;
+            case STOPPED -> PartPhase.STOPPED;
+            case LEASE_EXPIRED -> PartPhase.LOST;
+        };
+    }
+
     /** Adopt renewed the lease of what runs; a part whose time is over without a trace at the worker is lost. */
     private void settleAdopted(Part part, WorkerCalls.Pending pending, long now) {
         if (part.phase == PartPhase.STOPPING && now >= part.stopDeadline) {
-            lose(part, "the worker did not stop the task", now);
+            loseUncertainly(part, "the worker did not stop the task", now);
         } else if (part.confirmed()) {
             part.leaseEnd = pending.sentAt() + AgentTimings.LEASE_MILLISECONDS;
         } else if (now >= part.leaseEnd) {
             calls.call(new WorkerCall.Stop(part.task, 0), now);
-            lose(part, "the worker never ran the task", now);
+            loseUncertainly(part, "the worker did not confirm that it runs", now);
         }
     }
 
@@ -73,16 +90,12 @@
         Map<TaskIdentifier, WorkerTask> byTask = new TreeMap<>();
         tasks.tasks().forEach(status -> byTask.put(status.task(), status));
         List<TaskIdentifier> unwanted = byTask.keySet().stream()
-                .filter(task -> parts.find(task) == null)
+                .filter(task -> parts.find(task) == null && !parts.isGhost(task))
                 .toList();
         if (!unwanted.isEmpty()) {
             calls.call(new WorkerCall.Forget(unwanted), now);
         }
-        tasks.tasks().stream()
-                .filter(status -> status.state() == WorkerTask.State.RUNNING)
-                .map(status -> parts.find(status.task()))
-                .filter(part -> part != null && !part.live())
-                .forEach(part -> calls.call(new WorkerCall.Stop(part.task, 0), now));
+        settleGhosts(byTask, pending, now);
         for (Part part : parts.live().toList()) {
             WorkerTask status = byTask.get(part.task);
             if (status != null) {
@@ -102,8 +115,19 @@
         if (reply instanceof WorkerReply.Ran ran) {
             confirm(part, ran.status(), pending, now);
         } else if (reply instanceof WorkerReply.Refused refused && !part.confirmed()) {
+            refused(part, refused, now);
+        }
+    }
+
+    /** A refusal by a restarted worker leaves open whether its predecessor carried out an earlier call. */
+    private void refused(Part part, WorkerReply.Refused refused, long now) {
+        if (refused.reason() == WorkerReply.Reason.INVALID) {
             part.failure = refused.detail();
             end(part, PartPhase.FAILED, now);
+        } else if (part.runCalls > 1) {
+            lose(part, refused.detail(), now);
+        } else {
+            part.runCalls = 0;
         }
     }
 
@@ -158,6 +182,29 @@
         end(part, PartPhase.LOST, now);
     }
 
+    /** The task may have run and may still run; its resources are kept until the worker says that it does not. */
+    void loseUncertainly(Part part, String failure, long now) {
+        part.failure = failure;
+        answers.drop(part);
+        parts.loseUncertainly(part, now);
+        if (part.forgotten) {
+            forget(part, now);
+        }
+    }
+
+    /** Ends the lost parts that do not run by a listing, and stops those that do. */
+    private void settleGhosts(Map<TaskIdentifier, WorkerTask> byTask, WorkerCalls.Pending pending, long now) {
+        for (Part ghost : parts.ghosts()) {
+            WorkerTask status = byTask.get(ghost.task);
+            boolean gone = status == null && ghost.confirmed() && pending.token() > ghost.confirmedBy;
+            if (gone || status != null && status.state() != WorkerTask.State.RUNNING) {
+                parts.ended(ghost);
+            } else {
+                calls.call(new WorkerCall.Stop(ghost.task, 0), now);
+            }
+        }
+    }
+
     void tick(long now) {
         fetchNext(now);
         parts.live().filter(part -> now >= part.nextProgressReport).forEach(part -> reportProgress(part, now));
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/WorkerDriver.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/WorkerDriver.java
@@ -26,6 +26,7 @@
     private boolean read;
 
     private boolean available;
+    private long workerIncarnation;
     private long readingSince;
     private long nextAdoption;
     private long version;
@@ -123,6 +124,7 @@
             case WorkerCall.Adopt ignored
             when reply instanceof WorkerReply.Adopted adopted -> {
                 version = adopted.version();
+                workerIncarnation = adopted.workerIncarnation();
                 read = true;
                 nextRenewal = now;
                 nextListing = now;
@@ -133,10 +135,17 @@
                 boolean changed = tasks.version() != listing.knownVersion();
                 version = tasks.version();
                 tracker.listed(tasks, pending, now);
+                adoptRestarted(tasks.workerIncarnation(), now);
                 scheduleListing(changed, pending, now);
             }
             case WorkerCall.ListTasks ignored -> nextListing = now + AgentTimings.WORKER_RETRY_MILLISECONDS;
-            case WorkerCall.Run run -> tracker.ran(run, reply, pending, now);
+            case WorkerCall.Run run -> {
+                tracker.ran(run, reply, pending, now);
+                if (reply instanceof WorkerReply.Refused refused
+                        && refused.reason() == WorkerReply.Reason.OTHER_WORKER) {
+                    nextListing = now;
+                }
+            }
             case WorkerCall.FetchAnswer fetch -> tracker.fetched(fetch, reply, now);
             case WorkerCall.Renew renewal
             when reply instanceof WorkerReply.Done -> tracker.renewed(renewal, pending, now);
@@ -153,10 +162,22 @@
 
     private void scheduleListing(boolean changed, WorkerCalls.Pending pending, long now) {
         boolean live = parts.live().findAny().isPresent();
+        if (!live && !parts.ghosts().isEmpty()) {
+            nextListing = now + AgentTimings.WORKER_RETRY_MILLISECONDS;
+            return;
+        }
         long pause = changed ? AgentTimings.MINIMUM_LIST_MILLISECONDS : AgentTimings.UNCHANGED_LIST_MILLISECONDS;
         nextListing = live ? pending.sentAt() + pause : now + AgentTimings.IDLE_LIST_MILLISECONDS;
     }
 
+    /** Adopts a worker that was restarted, so that it accepts runs again. */
+    private void adoptRestarted(long incarnationOfReply, long now) {
+        if (incarnationOfReply != workerIncarnation && !calls.isPending(WorkerCall.Adopt.class::isInstance)) {
+            effects.logged("the worker was restarted", "");
+            adopt(now);
+        }
+    }
+
     private void noteAvailability(boolean answered) {
         if (answered != available) {
             available = answered;
@@ -170,7 +191,7 @@
             calls.abandon();
             read = true;
             nextListing = now;
-            parts.live().toList().forEach(part -> tracker.lose(part, "the worker cannot be reached", now));
+            parts.live().toList().forEach(part -> tracker.loseUncertainly(part, "the worker cannot be reached", now));
         } else if (now >= nextAdoption && !calls.isPending(WorkerCall.Adopt.class::isInstance)) {
             adopt(now);
         }
@@ -198,10 +219,15 @@
     }
 
     private void run(Part part, long now) {
+        if (part.runCalls == 0) {
+            part.workerIncarnation = workerIncarnation;
+        }
+        part.runCalls++;
         part.nextCall = now + AgentTimings.WORKER_RETRY_MILLISECONDS;
         calls.call(
                 new WorkerCall.Run(
                         incarnation,
+                        part.workerIncarnation,
                         part.task,
                         part.specification,
                         part.firstAccelerator,
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/worker/WorkerCall.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/worker/WorkerCall.java
@@ -21,13 +21,18 @@
     record ListTasks(long knownVersion, long waitMilliseconds) implements WorkerCall {}
 
     /**
-     * Runs a task under a lease. A task that the worker knows is not run again. Answered by Ran.
+     * Runs a task under a lease. A task that the worker knows is not run again, and one that it was told to forget is
+     * refused for ten minutes. Answered by Ran.
      *
+     * @param incarnation of the agent process, as in Adopt
+     * @param workerIncarnation of the worker, as Adopt was answered; another incarnation of the worker refuses the
+     *     call, because its predecessor may have carried it out
      * @param firstAccelerator first of the adjacent accelerators, -1 for none
      * @param leaseMilliseconds the worker stops the task when the lease is not renewed in this time
      */
     record Run(
             String incarnation,
+            long workerIncarnation,
             TaskIdentifier task,
             TaskSpecification specification,
             int firstAccelerator,
@@ -52,7 +57,7 @@
     /** Fetches the answer of a succeeded task. Answered by AnswerContent. */
     record FetchAnswer(TaskIdentifier task) implements WorkerCall {}
 
-    /** Drops tasks and their answers; those that run are stopped at once. Answered by Done. */
+    /** Drops tasks and their answers; those that run are stopped at once. Their runs are refused. Answered by Done. */
     record Forget(List<TaskIdentifier> tasks) implements WorkerCall {}
 
     /** Path of the call over HTTP. */
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/worker/WorkerReply.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/worker/WorkerReply.java
@@ -8,15 +8,20 @@
     /** A task with what it was run from. */
     record AdoptedTask(WorkerTask status, TaskSpecification specification, int firstAccelerator) {}
 
-    /** Reply to Adopt: every task, finished ones included. */
-    record Adopted(long version, List<AdoptedTask> tasks) implements WorkerReply {}
+    /**
+     * Reply to Adopt: every task, finished ones included.
+     *
+     * @param workerIncarnation differs for every start of the worker
+     */
+    record Adopted(long workerIncarnation, long version, List<AdoptedTask> tasks) implements WorkerReply {}
 
     /**
      * Reply to ListTasks.
      *
+     * @param workerIncarnation differs for every start of the worker
      * @param version differs after every change of a task's state or checkpoint, and after a restart of the worker
      */
-    record Tasks(long version, List<WorkerTask> tasks) implements WorkerReply {}
+    record Tasks(long workerIncarnation, long version, List<WorkerTask> tasks) implements WorkerReply {}
 
     /** Reply to Run. */
     record Ran(WorkerTask status) implements WorkerReply {}
@@ -33,8 +38,18 @@
      */
     record AnswerContent(byte[] content, int length, int checksum) implements WorkerReply {}
 
-    /** The worker did not carry out the call and will not; the detail says why. */
-    record Refused(String detail) implements WorkerReply {}
+    /** The worker did not carry out the call; the detail says why. */
+    record Refused(Reason reason, String detail) implements WorkerReply {}
+
+    /** Why the worker refused a call. */
+    enum Reason {
+        /** The call makes no sense, now or later. */
+        INVALID,
+        /** Another agent process has adopted the worker. */
+        OTHER_AGENT,
+        /** The call was meant for an earlier incarnation of the worker. */
+        OTHER_WORKER
+    }
 
     /** No reply came; the call may have been carried out. Never sent over HTTP. */
     record Unavailable(String detail) implements WorkerReply {}
--- a/teaselwood-standins/src/main/java/org/teaselwood/standins/worker/WorkerEngine.java
+++ b/teaselwood-standins/src/main/java/org/teaselwood/standins/worker/WorkerEngine.java
@@ -1,6 +1,7 @@
 package org.teaselwood.standins.worker;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -21,12 +22,15 @@
  */
 public final class WorkerEngine {
     private static final int MAXIMUM_TASKS = 10_000;
+    private static final long FORGOTTEN_MILLISECONDS = 600_000;
 
     private final long usageLagMilliseconds;
     private final NavigableMap<TaskIdentifier, SimulatedTask> tasks = new TreeMap<>();
     private final List<TaskIdentifier> runs = new ArrayList<>();
     private WorkerFaults faults = WorkerFaults.NONE;
-    private String incarnation = "";
+    private final Map<TaskIdentifier, Long> forgotten = new LinkedHashMap<>();
+    private String agentIncarnation = "";
+    private long incarnation;
     private long version;
 
     /**
@@ -37,6 +41,7 @@
      */
     public WorkerEngine(long firstVersion, long usageLagMilliseconds) {
         this.version = firstVersion;
+        this.incarnation = firstVersion;
         this.usageLagMilliseconds = usageLagMilliseconds;
     }
 
@@ -47,6 +52,7 @@
             case WorkerCall.Adopt adopt -> adopt(adopt, now);
             case WorkerCall.ListTasks ignored ->
                 new WorkerReply.Tasks(
+                        incarnation,
                         version,
                         tasks.values().stream().map(SimulatedTask::status).toList());
             case WorkerCall.Run run -> run(run, now);
@@ -75,6 +81,7 @@
             case WorkerCall.FetchAnswer fetch -> fetch(fetch);
             case WorkerCall.Forget forget -> {
                 version += tasks.keySet().removeAll(forget.tasks()) ? 1 : 0;
+                forget.tasks().forEach(task -> forgotten.put(task, now + FORGOTTEN_MILLISECONDS));
                 yield new WorkerReply.Done();
             }
         };
@@ -86,6 +93,7 @@
                 .filter(task -> task.advance(now, faults, usageLagMilliseconds))
                 .count();
         version += ended;
+        forgotten.values().removeIf(until -> until <= now);
     }
 
     /** Differs after every change of a task's state or checkpoint. */
@@ -99,10 +107,13 @@
         this.faults = faults;
     }
 
-    /** Fault: the worker forgets all its tasks, as after a crash. */
+    /** Fault: the worker stops and is started again, without memory. */
     public void loseTasks() {
         tasks.clear();
+        forgotten.clear();
+        agentIncarnation = "";
         version++;
+        incarnation = version;
     }
 
     /** Every task that was run, in order, once for each time; the oracle of at-most-once. */
@@ -118,11 +129,12 @@
     }
 
     private WorkerReply adopt(WorkerCall.Adopt adopt, long now) {
-        incarnation = adopt.incarnation();
+        agentIncarnation = adopt.incarnation();
         tasks.values().stream()
                 .filter(SimulatedTask::running)
                 .forEach(task -> task.renew(now, adopt.leaseMilliseconds()));
         return new WorkerReply.Adopted(
+                incarnation,
                 version,
                 tasks.values().stream()
                         .filter(task -> task.specification != null)
@@ -132,8 +144,15 @@
     }
 
     private WorkerReply run(WorkerCall.Run run, long now) {
-        if (!run.incarnation().equals(incarnation)) {
-            return new WorkerReply.Refused("the worker was adopted by another agent process");
+        if (run.workerIncarnation() != incarnation) {
+            return new WorkerReply.Refused(WorkerReply.Reason.OTHER_WORKER, "the worker was restarted");
+        }
+        if (!run.incarnation().equals(agentIncarnation)) {
+            return new WorkerReply.Refused(
+                    WorkerReply.Reason.OTHER_AGENT, "the worker was adopted by another agent process");
+        }
+        if (forgotten.containsKey(run.task())) {
+            return new WorkerReply.Refused(WorkerReply.Reason.INVALID, "the task was forgotten");
         }
         SimulatedTask present = tasks.get(run.task());
         if (present != null) {
@@ -142,10 +161,11 @@
         BuiltInCommand command = BuiltInCommand.of(run.specification().command());
         if (command == null) {
             return new WorkerReply.Refused(
+                    WorkerReply.Reason.INVALID,
                     "unknown command " + run.specification().command());
         }
         if (tasks.size() >= MAXIMUM_TASKS) {
-            return new WorkerReply.Refused("too many tasks");
+            return new WorkerReply.Refused(WorkerReply.Reason.INVALID, "too many tasks");
         }
         try {
             SimulatedTask task = new SimulatedTask(run.task(), run.specification(), run.firstAccelerator(), command);
@@ -159,7 +179,7 @@
             version++;
             return new WorkerReply.Ran(task.status());
         } catch (NumberFormatException exception) {
-            return new WorkerReply.Refused("a parameter is not a number");
+            return new WorkerReply.Refused(WorkerReply.Reason.INVALID, "a parameter is not a number");
         }
     }
 
@@ -178,13 +198,13 @@
     private WorkerReply fetch(WorkerCall.FetchAnswer fetch) {
         SimulatedTask task = tasks.get(fetch.task());
         if (task == null || !task.succeeded()) {
-            return new WorkerReply.Refused("the task has no answer");
+            return new WorkerReply.Refused(WorkerReply.Reason.INVALID, "the task has no answer");
         }
         try {
             Answer answer = Answer.of(BuiltInCommand.answer(task.specification, task.task.part()));
             return new WorkerReply.AnswerContent(answer.content(), answer.length(), answer.checksum());
         } catch (TeaselwoodException exception) {
-            return new WorkerReply.Refused(exception.getMessage());
+            return new WorkerReply.Refused(WorkerReply.Reason.INVALID, exception.getMessage());
         }
     }
 }
--- a/teaselwood-standins/src/main/java/org/teaselwood/standins/worker/WorkerStandIn.java
+++ b/teaselwood-standins/src/main/java/org/teaselwood/standins/worker/WorkerStandIn.java
@@ -120,7 +120,10 @@
         try {
             WorkerCall call = WorkerCodec.decodeCall(body);
             if (!call.path().equals(request.path())) {
-                respond(response, BAD_REQUEST, new WorkerReply.Refused("the body belongs to " + call.path()));
+                respond(
+                        response,
+                        BAD_REQUEST,
+                        new WorkerReply.Refused(WorkerReply.Reason.INVALID, "the body belongs to " + call.path()));
                 return;
             }
             long now = clock.nowMilliseconds();
@@ -134,7 +137,7 @@
             WorkerReply reply = engine.handle(call, now);
             respond(response, reply instanceof WorkerReply.Refused ? CONFLICT : OK, reply);
         } catch (TeaselwoodException exception) {
-            respond(response, BAD_REQUEST, new WorkerReply.Refused(exception.getMessage()));
+            respond(response, BAD_REQUEST, new WorkerReply.Refused(WorkerReply.Reason.INVALID, exception.getMessage()));
         }
     }
 
