Look an unknown job up before its traces are dropped

Cause: a job that another placer accepted after this placer had listed the records was unknown here; the agents were told to forget its lost attempt, and a later placer took the agents' ignorance for a proof that it never ran.

Change: the record of a job that only agents know is looked up before its traces are dropped.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
@@ -4,9 +4,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.IntStream;
+import org.teaselwood.entry.core.StoreCall;
+import org.teaselwood.entry.core.StoreReply;
 import org.teaselwood.entry.jobs.Job;
+import org.teaselwood.entry.jobs.JobKeys;
 import org.teaselwood.entry.jobs.JobStore;
 import org.teaselwood.entry.placer.Attempt.Stage;
 import org.teaselwood.entry.relay.PartKey;
@@ -15,12 +20,14 @@
 import org.teaselwood.model.JobState;
 import org.teaselwood.model.PartPhase;
 import org.teaselwood.model.PartReport;
+import org.teaselwood.model.Template;
 import org.teaselwood.model.WorkKind;
 import org.teaselwood.protocol.message.AgentCommand;
 import org.teaselwood.protocol.message.AgentMessage.HeldPart;
 import org.teaselwood.protocol.message.EntryMessage.JobRecord;
 import org.teaselwood.protocol.message.EntryMessage.MarkedAgent;
 import org.teaselwood.protocol.message.TaskSpecification;
+import org.teaselwood.store.KeyValue;
 
 /**
  * Rebuilds the job table of a new placer from the standby's copy, the records of the key-value service and the parts
@@ -37,6 +44,11 @@
     /** Jobs whose agents may still report an attempt, with the time of giving up. */
     private final Map<JobIdentifier, Long> awaited = new TreeMap<>();
 
+    /** Jobs that agents reported, whose records are being looked up. */
+    private final Set<JobIdentifier> lookups = new TreeSet<>();
+    /** Jobs that agents reported and that have no record. */
+    private final Set<JobIdentifier> absent = new TreeSet<>();
+
     private boolean due;
     private long repeatAt = Long.MAX_VALUE;
 
@@ -55,6 +67,8 @@
 
     void clear() {
         awaited.clear();
+        lookups.clear();
+        absent.clear();
         due = false;
         repeatAt = Long.MAX_VALUE;
     }
@@ -199,12 +213,11 @@
                 sightings.stream().anyMatch(sighting -> sighting.phase().mayHaveRun());
         Job job = state.table().find(identifier.job()).orElse(null);
         if (job == null) {
-            if (!worth && !state.recordsLoaded()) {
+            TaskSpecification specification = sightings.getFirst().part().specification();
+            if (!worth && !absent(identifier.job(), specification)) {
                 return;
             }
-            job = worth || !started
-                    ? create(identifier, sightings.getFirst().part().specification())
-                    : null;
+            job = worth || !started ? create(identifier, specification) : null;
         }
         if (job == null || job.state().isFinal() || state.attemptOf(job).isPresent()) {
             dismiss(identifier, sightings);
@@ -217,6 +230,37 @@
         }
     }
 
+    /**
+     * Whether an unknown job certainly has no record. Another placer may have accepted it after the records were
+     * listed, and the traces at the agents are all that shows whether it ran; so the record is looked up first.
+     */
+    private boolean absent(JobIdentifier job, TaskSpecification specification) {
+        Template template = state.context().configuration().templates().get(specification.template());
+        boolean neverRecorded = specification.repeatable() && template != null && template.kind() == WorkKind.REQUEST;
+        if (neverRecorded || absent.contains(job)) {
+            return true;
+        }
+        if (lookups.add(job)) {
+            String key = JobKeys.record(state.context().settings().region(), job);
+            state.ask(List.of(), new StoreCall.Get(key), reply -> lookedUp(job, reply));
+        }
+        return false;
+    }
+
+    private void lookedUp(JobIdentifier job, StoreReply reply) {
+        lookups.remove(job);
+        if (!(reply instanceof StoreReply.Value value)) {
+            repeatAt = Math.min(repeatAt, state.now() + REPEAT_MILLISECONDS);
+        } else if (value.value().isPresent()) {
+            KeyValue found = value.value().get();
+            recorded(JobKeys.decode(found.value(), JobRecord.class), found.revision());
+            settle();
+        } else {
+            absent.add(job);
+            due = true;
+        }
+    }
+
     /** Takes a job that waits from the policy, because an attempt of it was found. */
     private void withdraw(Job job) {
         if (state.scheduled().contains(job.identifier())) {
