End an attempt whose answer its agent has dropped

Cause: an earlier placer cancelled a job and had its agent forget the attempt. The agent refused every repeated Start with attempt-fenced, and the refusal was ignored for an attempt that runs, so the job stayed running for ever.

Ruled out: the policy (it knew the attempt as adopted), the repetition of the answer (the agent had no part left to answer from).

Change: a part that has succeeded without a delivered answer counts as lost when its agent refuses to repeat the answer. A repeatable job is placed again, any other ends as unknown.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/AttemptPart.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/AttemptPart.java
@@ -55,9 +55,13 @@
         incarnation = newIncarnation;
     }
 
+    /** The agent refused a command; when it refuses to repeat an answer, it has dropped the answer. */
     void refuse(String detail) {
         refused = true;
         failure = detail;
+        if (succeeded() && answer == null) {
+            lose();
+        }
     }
 
     /** The agent is gone, and with it the part unless its fate is known. */
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/AttemptTest.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/AttemptTest.java
@@ -143,6 +143,20 @@
         assertThat(query(job).answerLength()).isEqualTo(5);
     }
 
+    /** Guards against a job that waits for ever for an answer that an earlier placer had the agent forget. */
+    @ParameterizedTest
+    @CsvSource({"true, RUNNING", "false, UNKNOWN"})
+    void an_answer_that_the_agent_has_dropped_is_lost(boolean repeatable, JobState expected) {
+        JobView job = submitted("plan", repeatable);
+        FakeAgent agent = running().getFirst();
+        PartKey part = agent.running().getFirst();
+        agent.end(part, PartPhase.SUCCEEDED, "");
+        agent.parts.clear();
+        region.run(5_000);
+        assertThat(query(job).state()).isEqualTo(expected);
+        assertThat(running()).hasSize(repeatable ? 1 : 0);
+    }
+
     /** Guards against cancelled work that goes on or is reported otherwise. */
     @ParameterizedTest
     @ValueSource(strings = {"plan", "gang"})
