Forgive a job's failures on quarantined servers at most twice

Cause: a burst of jobs that always fail has one server after another quarantined. Each quarantine forgave the jobs their failures there, so no job ever reached three failed servers, the servers stayed in quarantine in turn, and the jobs ran and failed without end.

Ruled out: the quarantine itself; a probe takes a server back after 15 s and other work went on.

Change: a job is forgiven at most two failures, so it ends after at most five.

--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/AttemptEvents.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/AttemptEvents.java
@@ -24,6 +24,9 @@
     /** A job whose attempts were lost this often probably brings its servers down. */
     static final int MOST_LOSSES = 8;
 
+    /** A job that goes on failing on one quarantined server after another is itself to blame. */
+    static final int MOST_FORGIVEN = 2;
+
     private final PolicyState state;
 
     AttemptEvents(PolicyState state) {
@@ -156,10 +159,11 @@
         }
     }
 
-    /** Failures on a server that turned out bad do not count against the jobs that failed there. */
+    /** Failures on a server that turned out bad do not count against the jobs that failed there, up to a limit. */
     private void forgive(String server) {
         for (TrackedJob job : state.jobs.values()) {
-            if (job.failedServers.remove(server)) {
+            if (job.forgiven < MOST_FORGIVEN && job.failedServers.remove(server)) {
+                job.forgiven++;
                 job.failures = Math.max(0, job.failures - 1);
             }
         }
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/TrackedJob.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/TrackedJob.java
@@ -21,6 +21,8 @@
     int attemptNumber;
     /** Attempts that ran and failed. */
     int failures;
+    /** Failures that no longer count because their server was quarantined. */
+    int forgiven;
 
     boolean cancelled;
     /** The open attempt, null while the job waits. */
--- a/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
+++ b/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.teaselwood.model.Configuration;
 import org.teaselwood.model.ErrorKind;
@@ -190,6 +191,32 @@
                 .hasSize(1);
     }
 
+    /** Guards against jobs that always fail, have servers quarantined, and are forgiven for it without end. */
+    @Test
+    void a_burst_of_jobs_that_always_fail_ends_although_it_quarantines_servers() {
+        fixture.withServers(6, 4);
+        IntStream.range(0, 6).forEach(index -> fixture.submit(fixture.request("j" + index, "t", HALF)));
+        int handled = 0;
+        for (int round = 0; round < 100 && ends(fixture.decisions).size() < 6; round++) {
+            List<PolicyDecision> made = List.copyOf(fixture.decisions.subList(handled, fixture.decisions.size()));
+            handled = fixture.decisions.size();
+            fixture.tick(20_000);
+            made.stream()
+                    .filter(Probe.class::isInstance)
+                    .forEach(probe -> fixture.send(new PolicyEvent.ProbeEnded(((Probe) probe).server(), true)));
+            places(made).forEach(place -> {
+                fixture.send(new PolicyEvent.AttemptStarted(place.attempt()));
+                String server = place.placements().getFirst().server();
+                fixture.send(new PolicyEvent.AttemptEnded(place.attempt(), AttemptResult.FAILED, List.of(server)));
+            });
+        }
+        assertThat(fixture.decisions.stream()
+                        .filter(Quarantine.class::isInstance)
+                        .toList())
+                .isNotEmpty();
+        assertThat(ends(fixture.decisions)).hasSize(6);
+    }
+
     /** Guards against retries without end by a team whose work always fails. */
     @Test
     void a_team_without_retry_budget_gets_the_failure_at_once() {
