Deliver nothing to a simulated entry after its connection has closed

Cause: with duplicated messages the simulated network delivered a copy of EntryHello after the event that the connection had closed. Membership then kept a connection that no event would ever close, opened no other one, and two entries stayed apart for good and displaced each other as placer. A socket delivers nothing after it has closed, so the fault was in the simulation.

Change: a simulated entry drops messages of a closed connection. Opened and closed connections are traced, a job that never ends is reported with its explanation, and connections are found through an index.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeCaller.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeCaller.java
@@ -29,6 +29,7 @@
     private boolean cancelled;
     private boolean answered;
     private int generation;
+    private String explanation = "";
 
     FakeCaller(World world, Submission submission) {
         this.world = world;
@@ -72,6 +73,19 @@
         }
     }
 
+    /** Asks why the job is where it is, for the report of a job that never ends. */
+    void explain() {
+        List<FakeEntry> entries = world.readyEntries();
+        if (job.isPresent() && !entries.isEmpty()) {
+            entries.getFirst()
+                    .ask(new FrontRequest.ExplainJob(principal, job.get()), reply -> explanation = reply.toString());
+        }
+    }
+
+    String explanation() {
+        return explanation;
+    }
+
     private void submit() {
         world.oracle().submissionSent(submission);
         unansweredSubmissions++;
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeEntry.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeEntry.java
@@ -24,6 +24,9 @@
     private final EntryCore core;
     private final Map<Long, Consumer<FrontReply>> openRequests = new HashMap<>();
     private final Set<Long> links = new HashSet<>();
+    /** Connections that the core closed and of which it has not been told yet that they are closed. */
+    private final Set<Long> closing = new HashSet<>();
+
     private long nextToken = 1;
     private boolean ready;
     private boolean drained;
@@ -86,6 +89,7 @@
     @Override
     public FakeNetwork.Listener accept(long link) {
         links.add(link);
+        world.trace(node.name(), "accepted link " + link);
         handle(new EntryEvent.LinkAccepted(link));
         return listener();
     }
@@ -98,9 +102,16 @@
     @Override
     public void closeLink(long link) {
         if (links.remove(link)) {
+            world.trace(node.name(), "closes link " + link);
+            closing.add(link);
             world.network().close(link);
-            node.deliver(() ->
-                    world.time().schedule(0, () -> node.deliver(() -> handle(new EntryEvent.LinkClosed(link)))));
+            node.deliver(() -> world.time()
+                    .schedule(
+                            0,
+                            () -> node.deliver(() -> {
+                                closing.remove(link);
+                                handle(new EntryEvent.LinkClosed(link));
+                            })));
         }
     }
 
@@ -110,6 +121,7 @@
             @Override
             public FakeNetwork.Listener connected(long link) {
                 links.add(link);
+                world.trace(node.name(), "connected to " + to.entry() + " over link " + link);
                 handle(new EntryEvent.LinkConnected(link, to));
                 return listener();
             }
@@ -158,12 +170,16 @@
         return new FakeNetwork.Listener() {
             @Override
             public void received(long link, Message message) {
-                handle(new EntryEvent.MessageReceived(link, message));
+                // Like a socket, a connection delivers nothing after the event that it closed.
+                if (links.contains(link) || closing.contains(link)) {
+                    handle(new EntryEvent.MessageReceived(link, message));
+                }
             }
 
             @Override
             public void closed(long link) {
                 if (links.remove(link)) {
+                    world.trace(node.name(), "link " + link + " closed by the other side");
                     handle(new EntryEvent.LinkClosed(link));
                 }
             }
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeNetwork.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeNetwork.java
@@ -25,6 +25,7 @@
     private final Map<String, Acceptor> acceptors = new HashMap<>();
     private final Set<String> cuts = new TreeSet<>();
     private final List<Connection> connections = new ArrayList<>();
+    private final Map<Long, Connection> byLink = new HashMap<>();
     private long nextLink = 1;
     private long extraDelayMilliseconds;
     private double duplication;
@@ -100,7 +101,7 @@
         List.copyOf(connections).stream()
                 .filter(connection -> connection.touches(node))
                 .forEach(connection -> {
-                    connections.remove(connection);
+                    remove(connection);
                     if (peersLearn) {
                         connection.tellPeerOf(node, delay());
                     } else {
@@ -145,6 +146,8 @@
         Connection connection = new Connection(from, acceptor.node(), nextLink, nextLink + 1);
         nextLink += 2;
         connections.add(connection);
+        byLink.put(connection.connectingLink, connection);
+        byLink.put(connection.acceptingLink, connection);
         time.schedule(
                 0,
                 () -> acceptor.node().deliver(() -> {
@@ -154,11 +157,14 @@
         connection.connectingListener = connector.connected(connection.connectingLink);
     }
 
+    private void remove(Connection connection) {
+        connections.remove(connection);
+        byLink.remove(connection.connectingLink);
+        byLink.remove(connection.acceptingLink);
+    }
+
     private Connection connectionOf(long link) {
-        return connections.stream()
-                .filter(connection -> connection.connectingLink == link || connection.acceptingLink == link)
-                .findFirst()
-                .orElse(null);
+        return byLink.get(link);
     }
 
     /** One connection with its two ends. */
@@ -216,7 +222,7 @@
         }
 
         void close(long link) {
-            connections.remove(this);
+            remove(this);
             Node peer = link == connectingLink ? accepting : connecting;
             Node self = link == connectingLink ? connecting : accepting;
             tellPeerOf(self, isCut(self, peer) ? LOSS_DETECTION_MILLISECONDS : delay());
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
@@ -266,15 +266,24 @@
                         .ifPresent(server -> operator.publishState(server, ServiceState.IN_SERVICE));
             }
         }
-        world.callers().stream()
-                .filter(caller -> !caller.isDone())
-                .forEach(caller -> world.oracle()
-                        .report(
-                                "P3",
-                                world.time().nowMilliseconds(),
-                                caller.submission().identity() + " ("
-                                        + caller.submission().template().name() + ") never learned its answer; outcome "
-                                        + caller.outcome()));
+        reportUnanswered();
+    }
+
+    private void reportUnanswered() {
+        List<FakeCaller> waiting =
+                world.callers().stream().filter(caller -> !caller.isDone()).toList();
+        if (waiting.isEmpty()) {
+            return;
+        }
+        waiting.forEach(FakeCaller::explain);
+        world.advance(HEAL_STEP_MILLISECONDS);
+        waiting.forEach(caller -> world.oracle()
+                .report(
+                        "P3",
+                        world.time().nowMilliseconds(),
+                        caller.submission().identity() + " ("
+                                + caller.submission().template().name() + ") never learned its answer; outcome "
+                                + caller.outcome() + "; " + caller.explanation()));
     }
 
     private boolean isSettled() {
