End every pass of guaranteed starts

Cause: a team whose larger job takes over the unit of its smaller claimed job was tried again within the same pass; when the larger job then found claims of displacing work in its unit, both jobs took the unit from each other without end, and the process hung (random run test, found in the first test run after the rule for larger jobs was added).

Change: a pass tries each team once. A guaranteed start drops claims of displacing work inside its unit, which have no right to it. Displacement runs on ticks only. A job that is larger than the work in a unit of its own team may take that unit.

--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteeScheduler.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteeScheduler.java
@@ -39,6 +39,9 @@
         if (pass) {
             pass();
         }
+        if (event instanceof PolicyEvent.Tick) {
+            displacement.run();
+        }
         return state.decisions;
     }
 
@@ -159,7 +162,6 @@
         claimStarts.run();
         guaranteedStarts.run();
         borrowedStarts.run();
-        displacement.run();
     }
 
     private void restore() {
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteedStarts.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteedStarts.java
@@ -15,9 +15,9 @@
  * Starts work inside its team's guarantee. Confined to its scheduler's thread.
  *
  * <p>In this order: room in a unit that nobody holds; an empty unit moved to room that nobody holds; for work that may
- * borrow, free room anywhere; the place of a unit whose borrowers cost the least to stop. Urgent work, and work that
- * runs only inside the guarantee, may then take the unit of its own team's ordinary work, which goes on as borrowed
- * work until its place is needed.
+ * borrow, free room anywhere; the place of a unit whose borrowers cost the least to stop. Urgent work, work that
+ * runs only inside the guarantee, and larger work may then take the unit of its own team's ordinary work, which goes on
+ * as borrowed work until its place is needed.
  */
 final class GuaranteedStarts {
     private final PolicyState state;
@@ -30,9 +30,10 @@
 
     /** Tries the waiting work of all teams whose units or queue changed. */
     void run() {
-        while (!state.teamsToTry.isEmpty()) {
-            String team = state.teamsToTry.iterator().next();
-            state.teamsToTry.remove(team);
+        // A team that becomes placeable meanwhile waits for the next pass, so that a pass always ends.
+        List<String> teams = List.copyOf(state.teamsToTry);
+        state.teamsToTry.clear();
+        for (String team : teams) {
             if (!state.plan.unitsOf(team).isEmpty()) {
                 tryTeam(team);
             }
@@ -127,6 +128,22 @@
     }
 
     private boolean startOnReclaimed(TrackedJob job, List<GuaranteeUnit> units) {
+        return reclaim(job, units) || dropBorrowedClaims(units) && reclaim(job, units);
+    }
+
+    /** Work that displaces borrowed work has no right to a place inside a guarantee; it waits again. */
+    private boolean dropBorrowedClaims(List<GuaranteeUnit> units) {
+        Set<String> servers = new HashSet<>();
+        units.forEach(unit -> servers.addAll(unit.area.keySet()));
+        List<TrackedJob> inTheWay = state.claims.values().stream()
+                .filter(job -> job.unit == null
+                        && job.claim.placements().stream().anyMatch(placement -> servers.contains(placement.server())))
+                .toList();
+        inTheWay.forEach(this::makeYield);
+        return !inTheWay.isEmpty();
+    }
+
+    private boolean reclaim(TrackedJob job, List<GuaranteeUnit> units) {
         GuaranteeUnit bestUnit = null;
         VictimSearch.Found best = null;
         for (GuaranteeUnit unit : units) {
@@ -165,13 +182,14 @@
     }
 
     private boolean startInsteadOfOwn(TrackedJob job) {
-        if (!job.request.urgent() && job.mayBorrow()) {
-            return false;
-        }
+        boolean mustStart = job.request.urgent() || !job.mayBorrow();
         GuaranteeUnit best = null;
         long bestCost = Long.MAX_VALUE;
         for (GuaranteeUnit unit : state.plan.unitsOf(job.request.team())) {
-            boolean yields = unit.isPlaced()
+            int used =
+                    unit.occupants.stream().mapToInt(TrackedJob::accelerators).sum();
+            boolean yields = (mustStart || job.accelerators() > used)
+                    && unit.isPlaced()
                     && !unit.excess
                     && !unit.isEmpty()
                     && unit.occupants.stream().allMatch(GuaranteedStarts::mayYield)
