Add the policy benchmark

Cause: the policy has to be measured against baselines on one stream.

Change: bench policy makes a seeded stream of arrivals, cancellations, failures and outages and feeds it to the policy and to first-fit, strict best-fit and a static split in virtual time. The first-fit scheduler remembers which demands do not fit instead of hashing each waiting job.

--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/Main.java
@@ -0,0 +1,35 @@
+package org.teaselwood.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.io.PrintStream;
+import org.teaselwood.bench.policy.PolicyBenchmark;
+
+/** Entry point of {@code bin/bench}: runs the benchmark named by the subcommand. */
+public final class Main {
+    /** Exit status for wrong arguments, as in sysexits.h. */
+    private static final int WRONG_USAGE = 64;
+
+    private Main() {}
+
+    /** Runs one benchmark and prints its figures as name=value lines. */
+    public static void main(String[] arguments) {
+        PolicyBenchmark policy = new PolicyBenchmark();
+        JCommander commander = JCommander.newBuilder()
+                .programName("bench")
+                .addCommand("policy", policy)
+                .build();
+        try {
+            commander.parse(arguments);
+            if (commander.getParsedCommand() == null) {
+                throw new ParameterException("a subcommand is required");
+            }
+        } catch (ParameterException wrong) {
+            PrintStream errors = System.err;
+            errors.println(wrong.getMessage());
+            commander.usage();
+            System.exit(WRONG_USAGE);
+        }
+        policy.run(System.out);
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/Figures.java
@@ -0,0 +1,128 @@
+package org.teaselwood.bench.policy;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.policy.PolicyEvent;
+
+/** What one run of the stream measured. Mutable, confined to the thread of its simulation. */
+final class Figures {
+    /** Shorter run times count as this long in slowdowns, so that starting a task does not dominate them. */
+    private static final long SHORTEST_RUN_MILLISECONDS = 10_000;
+
+    final Histogram decisionNanoseconds = new Histogram(3);
+    final Histogram reclaimMilliseconds = new Histogram(3);
+    final Histogram urgentStartMilliseconds = new Histogram(3);
+    /** Slowdown of each job that succeeded: its time from submission to its answer over its run time. */
+    final Map<JobIdentifier, Double> slowdowns = new TreeMap<>();
+    /** Time that each large job that succeeded spent not working, in milliseconds. */
+    final Map<JobIdentifier, Double> largeWaits = new TreeMap<>();
+
+    /** Sum and count of the slowdowns by template. */
+    final Map<String, double[]> slowdownsByTemplate = new TreeMap<>();
+
+    final Map<ErrorKind, Integer> endings = new TreeMap<>();
+    long quarantines;
+    long reclaims;
+    long gangViolations;
+    long guaranteeViolations;
+    long starvedJobs;
+    long unfinished;
+
+    private final Deployment deployment;
+    private double workedMilliseconds;
+    private double fragmentationSum;
+    private long fragmentationSamples;
+
+    Figures(Deployment deployment) {
+        this.deployment = deployment;
+    }
+
+    void decided(long nanoseconds, PolicyEvent event) {
+        boolean startup = event instanceof PolicyEvent.ConfigurationChanged;
+        if (!startup) {
+            decisionNanoseconds.recordValue(nanoseconds);
+        }
+    }
+
+    void succeeded(SimulatedJob job, long nowMilliseconds) {
+        long took = nowMilliseconds - job.request().submittedMilliseconds();
+        double run = Math.max(SHORTEST_RUN_MILLISECONDS, job.runMilliseconds());
+        slowdowns.put(job.request().job(), Math.max(took, run) / run);
+        double[] sums =
+                slowdownsByTemplate.computeIfAbsent(job.request().template().name(), name -> new double[2]);
+        sums[0] += Math.max(took, run) / run;
+        sums[1]++;
+        if (job.request().template().shape().totalAccelerators() >= deployment.largeAccelerators()) {
+            largeWaits.put(job.request().job(), (double) Math.max(0, took - job.runMilliseconds()));
+        }
+    }
+
+    void endedByPolicy(ErrorKind kind) {
+        endings.merge(kind, 1, Integer::sum);
+    }
+
+    /** Adds work that was not lost, up to the end of the arrivals. */
+    void worked(int accelerators, long fromMilliseconds, long toMilliseconds) {
+        long end = Math.min(toMilliseconds, deployment.horizonMilliseconds());
+        workedMilliseconds += (double) accelerators * Math.max(0, end - fromMilliseconds);
+    }
+
+    void fragmentation(double value) {
+        fragmentationSum += value;
+        fragmentationSamples++;
+    }
+
+    /** Time-averaged fragmentation while work arrives, 0 to 1. */
+    double fragmentation() {
+        return fragmentationSum / Math.max(1, fragmentationSamples);
+    }
+
+    /** Share of the accelerator time in which work was done that was not lost, 0 to 1. */
+    double utilisation() {
+        return workedMilliseconds / ((double) deployment.accelerators() * deployment.horizonMilliseconds());
+    }
+
+    /** Mean slowdown of the jobs that succeeded under both policies, over that of the other. */
+    double completionRatio(Figures other) {
+        return mean(other.slowdowns) / other.mean(slowdowns);
+    }
+
+    /** The same at the 99th percentile. */
+    double completionRatio99(Figures other) {
+        return quantile(slowdowns, other.slowdowns, 0.99) / quantile(other.slowdowns, slowdowns, 0.99);
+    }
+
+    /** The 99th percentile of the waits of large jobs, over that of the other. */
+    double largeWaitRatio99(Figures other) {
+        return quantile(largeWaits, other.largeWaits, 0.99) / quantile(other.largeWaits, largeWaits, 0.99);
+    }
+
+    /** Mean slowdown of all jobs that succeeded; 1 would be a cluster without any wait. */
+    double meanSlowdown() {
+        return slowdowns.values().stream()
+                .mapToDouble(Double::doubleValue)
+                .average()
+                .orElse(Double.NaN);
+    }
+
+    private double mean(Map<JobIdentifier, Double> common) {
+        return slowdowns.entrySet().stream()
+                .filter(entry -> common.containsKey(entry.getKey()))
+                .mapToDouble(Map.Entry::getValue)
+                .average()
+                .orElse(Double.NaN);
+    }
+
+    private static double quantile(
+            Map<JobIdentifier, Double> values, Map<JobIdentifier, Double> common, double quantile) {
+        double[] sorted = values.entrySet().stream()
+                .filter(entry -> common.containsKey(entry.getKey()))
+                .mapToDouble(Map.Entry::getValue)
+                .sorted()
+                .toArray();
+        return sorted.length == 0 ? Double.NaN : sorted[(int) Math.min(sorted.length - 1, quantile * sorted.length)];
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/Plots.java
@@ -0,0 +1,56 @@
+package org.teaselwood.bench.policy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.stream.DoubleStream;
+import java.util.stream.IntStream;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+
+/** Draws the distributions of slowdowns and of the waits of large jobs. Stateless. */
+final class Plots {
+    private Plots() {}
+
+    /** Writes the charts as PNG files into a directory, which is created when it is missing. */
+    static void write(Path directory, Figures ours, Map<String, Figures> others) throws IOException {
+        Files.createDirectories(directory);
+        Map<String, Figures> all = new LinkedHashMap<>();
+        all.put("policy", ours);
+        all.putAll(others);
+        XYChart slowdowns = chart("Slowdown", "slowdown");
+        XYChart waits = chart("Waits of large jobs", "seconds");
+        all.forEach((name, figures) -> {
+            add(slowdowns, name, figures.slowdowns.values().stream().mapToDouble(value -> value));
+            add(waits, name, figures.largeWaits.values().stream().mapToDouble(value -> value / 1_000));
+        });
+        BitmapEncoder.saveBitmap(slowdowns, directory.resolve("slowdown").toString(), BitmapEncoder.BitmapFormat.PNG);
+        BitmapEncoder.saveBitmap(waits, directory.resolve("large-waits").toString(), BitmapEncoder.BitmapFormat.PNG);
+    }
+
+    private static XYChart chart(String title, String axis) {
+        XYChart chart = new XYChartBuilder()
+                .width(900)
+                .height(600)
+                .title(title)
+                .xAxisTitle("share of jobs")
+                .yAxisTitle(axis)
+                .build();
+        chart.getStyler().setYAxisLogarithmic(true);
+        chart.getStyler().setMarkerSize(0);
+        return chart;
+    }
+
+    private static void add(XYChart chart, String name, DoubleStream values) {
+        double[] sorted = values.map(value -> Math.max(0.1, value)).sorted().toArray();
+        if (sorted.length > 0) {
+            double[] shares = IntStream.range(0, sorted.length)
+                    .mapToDouble(index -> (index + 1.0) / sorted.length)
+                    .toArray();
+            chart.addSeries(name, shares, sorted);
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/PolicyBenchmark.java
@@ -0,0 +1,149 @@
+package org.teaselwood.bench.policy;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.teaselwood.policy.GuaranteeScheduler;
+import org.teaselwood.policy.Scheduler;
+
+/** {@code bench policy}: our policy and three baselines on the same stream, in virtual time. */
+@Parameters(commandDescription = "compare the policy with three baselines on one seeded stream, in virtual time")
+public final class PolicyBenchmark {
+    private static final double MILLISECONDS = 1_000.0;
+
+    @Parameter(names = "--deployment", description = "lab, cooperativa or two-year")
+    private String deployment = "lab";
+
+    @Parameter(names = "--seed", description = "seed of the first stream")
+    private long seed = 1;
+
+    @Parameter(names = "--seeds", description = "number of streams; figures are medians over them")
+    private int seeds = 1;
+
+    @Parameter(names = "--load", description = "offered work over capacity")
+    private double load = 0.9;
+
+    @Parameter(names = "--plot", description = "directory for charts")
+    private String plot;
+
+    @Parameter(names = "--scale", description = "measure decisions and heap at 11, 110 and 1,100 workers instead")
+    private boolean scale;
+
+    /** Runs the benchmark and prints name=value lines. */
+    public void run(PrintStream output) {
+        if (scale) {
+            new ScaleMeasurement(seed).run().forEach((name, value) -> print(output, name, value));
+            return;
+        }
+        Map<String, List<Double>> values = new LinkedHashMap<>();
+        for (int index = 0; index < seeds; index++) {
+            measure(seed + index)
+                    .forEach((name, value) -> values.computeIfAbsent(name, key -> new ArrayList<>())
+                            .add(value));
+        }
+        values.forEach((name, list) -> print(output, name, summary(name, list)));
+    }
+
+    private static void print(PrintStream output, String name, double value) {
+        output.println(name + "=" + String.format(Locale.ROOT, "%.4f", value));
+    }
+
+    /** Maxima and counts of faults are told in full; everything else as the median over the seeds. */
+    private static double summary(String name, List<Double> values) {
+        double[] sorted = values.stream()
+                .mapToDouble(Double::doubleValue)
+                .filter(value -> !Double.isNaN(value))
+                .sorted()
+                .toArray();
+        if (sorted.length == 0) {
+            return Double.NaN;
+        }
+        if (name.contains("_max_")) {
+            return sorted[sorted.length - 1];
+        }
+        if (name.endsWith("violations") || name.endsWith("starved_jobs")) {
+            return Arrays.stream(sorted).sum();
+        }
+        return (sorted[(sorted.length - 1) / 2] + sorted[sorted.length / 2]) / 2;
+    }
+
+    private Map<String, Double> measure(long streamSeed) {
+        Deployment cluster = Deployment.named(deployment);
+        WorkStream stream = WorkStream.of(cluster, streamSeed, load);
+        Map<String, Supplier<Scheduler>> policies = new LinkedHashMap<>();
+        policies.put("first_fit", Baselines::firstFit);
+        policies.put("best_fit", Baselines::bestFit);
+        policies.put("static", () -> Baselines.staticSplit(cluster));
+        Map<String, Figures> others = new LinkedHashMap<>();
+        policies.forEach(
+                (name, policy) -> others.put(name, new Simulation(cluster, stream, policy.get(), streamSeed).run()));
+        Figures ours = new Simulation(cluster, stream, new GuaranteeScheduler(), streamSeed).run();
+        if (plot != null) {
+            draw(ours, others);
+        }
+        Map<String, Double> values = new LinkedHashMap<>();
+        values.put("jobs", (double) stream.jobs().size());
+        compare(ours, others, values);
+        addOwn(ours, values);
+        addSlowdowns("policy", ours, values);
+        others.forEach((name, other) -> addSlowdowns(name, other, values));
+        return values;
+    }
+
+    private void draw(Figures ours, Map<String, Figures> others) {
+        try {
+            Plots.write(Path.of(plot), ours, others);
+        } catch (IOException failed) {
+            throw new UncheckedIOException(failed);
+        }
+    }
+
+    private static void compare(Figures ours, Map<String, Figures> others, Map<String, Double> values) {
+        others.forEach((name, other) -> {
+            values.put("completion_ratio_" + name, ours.completionRatio(other));
+            values.put("completion_ratio_" + name + "_p99", ours.completionRatio99(other));
+        });
+        others.forEach((name, other) ->
+                values.put("fragmentation_ratio_" + name, ours.fragmentation() / other.fragmentation()));
+        values.put("fragmentation_policy", ours.fragmentation());
+        others.forEach((name, other) -> values.put("fragmentation_" + name, other.fragmentation()));
+        values.put("completion_over_ideal", ours.meanSlowdown());
+        others.forEach((name, other) -> values.put("completion_over_ideal_" + name, other.meanSlowdown()));
+        values.put("large_wait_p99_ratio_first_fit", ours.largeWaitRatio99(others.get("first_fit")));
+        values.put("utilisation_policy", ours.utilisation());
+        others.forEach((name, other) -> values.put("utilisation_" + name, other.utilisation()));
+        values.put("succeeded_policy", (double) ours.slowdowns.size());
+        others.forEach((name, other) -> values.put("succeeded_" + name, (double) other.slowdowns.size()));
+    }
+
+    private static void addSlowdowns(String policy, Figures figures, Map<String, Double> values) {
+        figures.slowdownsByTemplate.forEach(
+                (template, sums) -> values.put("slowdown_" + policy + "_" + template, sums[0] / sums[1]));
+    }
+
+    private static void addOwn(Figures ours, Map<String, Double> values) {
+        values.put("reclaims", (double) ours.reclaims);
+        values.put("reclaim_p99_seconds", ours.reclaimMilliseconds.getValueAtPercentile(99) / MILLISECONDS);
+        values.put("reclaim_max_seconds", ours.reclaimMilliseconds.getMaxValue() / MILLISECONDS);
+        values.put("urgent_starts", (double) ours.urgentStartMilliseconds.getTotalCount());
+        values.put("urgent_start_max_seconds", ours.urgentStartMilliseconds.getMaxValue() / MILLISECONDS);
+        values.put("guarantee_violations", (double) ours.guaranteeViolations);
+        values.put("starved_jobs", (double) ours.starvedJobs);
+        values.put("gang_violations", (double) ours.gangViolations);
+        values.put("unfinished", (double) ours.unfinished);
+        values.put("quarantines", (double) ours.quarantines);
+        ours.endings.forEach((kind, count) -> values.put("ended_" + kind.code().replace('-', '_'), (double) count));
+        values.put("decision_p50_microseconds", ours.decisionNanoseconds.getValueAtPercentile(50) / MILLISECONDS);
+        values.put("decision_p99_microseconds", ours.decisionNanoseconds.getValueAtPercentile(99) / MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/ScaleMeasurement.java
@@ -0,0 +1,68 @@
+package org.teaselwood.bench.policy;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.teaselwood.policy.GuaranteeScheduler;
+
+/** Measures the time of decisions and the heap of the policy at three sizes. Confined to one thread. */
+final class ScaleMeasurement {
+    private static final int[] WORKERS = {11, 110, 1_100};
+    private static final int[] ACCELERATORS = {14, 140, 1_400};
+    private static final int[] TEAMS = {4, 40, 130};
+    private static final double LOAD = 0.9;
+    private static final double KIBIBYTE = 1_024;
+
+    private final long seed;
+
+    ScaleMeasurement(long seed) {
+        this.seed = seed;
+    }
+
+    /** Figures by name; a slope below 1 is growth less than linear in the workers. */
+    Map<String, Double> run() {
+        Map<String, Double> values = new LinkedHashMap<>();
+        // The first run warms up the compiler and is not measured.
+        measure(2);
+        double[] tails = new double[WORKERS.length];
+        double[] heaps = new double[WORKERS.length];
+        for (int index = 0; index < WORKERS.length; index++) {
+            String suffix = "_" + WORKERS[index];
+            double before = usedHeap();
+            GuaranteeScheduler scheduler = new GuaranteeScheduler();
+            Figures figures = simulate(index, scheduler);
+            tails[index] = figures.decisionNanoseconds.getValueAtPercentile(99) / 1_000.0;
+            values.put(
+                    "decision_p50_microseconds" + suffix,
+                    figures.decisionNanoseconds.getValueAtPercentile(50) / 1_000.0);
+            values.put("decision_p99_microseconds" + suffix, tails[index]);
+            values.put("decision_max_microseconds" + suffix, figures.decisionNanoseconds.getMaxValue() / 1_000.0);
+            figures = null;
+            heaps[index] = (usedHeap() - before) / KIBIBYTE;
+            values.put("heap_kibibytes" + suffix, heaps[index]);
+            values.put("heap_holds" + suffix, scheduler.fragmentation() >= 0 ? 1.0 : 0.0);
+        }
+        values.put("decision_p99_slope_11_to_110", slope(tails[0], tails[1]));
+        values.put("decision_p99_slope_110_to_1100", slope(tails[1], tails[2]));
+        values.put("heap_slope_110_to_1100", slope(heaps[1], heaps[2]));
+        return values;
+    }
+
+    private void measure(int index) {
+        simulate(index, new GuaranteeScheduler());
+    }
+
+    private Figures simulate(int index, GuaranteeScheduler scheduler) {
+        Deployment cluster = Deployment.scaled(WORKERS[index], ACCELERATORS[index], TEAMS[index]);
+        return new Simulation(cluster, WorkStream.of(cluster, seed, LOAD), scheduler, seed).run();
+    }
+
+    private static double slope(double small, double large) {
+        return Math.log10(large / small);
+    }
+
+    private static double usedHeap() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/test/java/org/teaselwood/bench/policy/SimulationTest.java
@@ -0,0 +1,43 @@
+package org.teaselwood.bench.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.teaselwood.policy.GuaranteeScheduler;
+
+/** The driver itself, on a small cluster. */
+class SimulationTest {
+    private static Figures run(long seed) {
+        Deployment cluster = Deployment.scaled(11, 14, 4);
+        return new Simulation(cluster, WorkStream.of(cluster, seed, 0.9), new GuaranteeScheduler(), seed).run();
+    }
+
+    /** Guards against a stream or a policy that depends on anything but the seed. */
+    @Test
+    void equal_seeds_give_equal_figures() {
+        assertThat(run(3).slowdowns).isEqualTo(run(3).slowdowns);
+    }
+
+    /** Guards against gangs placed in part and against jobs that the driver loses. */
+    @Test
+    void all_work_ends_and_no_gang_is_placed_in_part() {
+        Figures figures = run(4);
+        assertThat(figures.gangViolations).isEqualTo(0);
+        assertThat(figures.unfinished).isEqualTo(0);
+        assertThat(figures.slowdowns).isNotEmpty();
+    }
+
+    /** Guards against a stream whose offered work is not the load that was asked for. */
+    @Test
+    void the_offered_work_is_the_load() {
+        Deployment cluster = Deployment.named("lab");
+        double offered = WorkStream.of(cluster, 1, 0.7).jobs().stream()
+                .filter(job -> !job.request().template().name().endsWith("-wide"))
+                .mapToDouble(job -> (double) job.runMilliseconds()
+                        * job.request().template().shape().totalAccelerators())
+                .sum();
+        assertThat(offered / cluster.accelerators() / cluster.horizonMilliseconds())
+                .isWithin(0.02)
+                .of(0.7);
+    }
+}
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/FirstFitScheduler.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/FirstFitScheduler.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +14,6 @@
 import org.teaselwood.model.Configuration;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.JobIdentifier;
-import org.teaselwood.model.Shape;
 import org.teaselwood.policy.PolicyDecision.EndJob;
 import org.teaselwood.policy.PolicyDecision.Place;
 
@@ -39,7 +37,7 @@
     private final Cluster cluster = new Cluster();
     private final Map<JobIdentifier, TrackedJob> jobs = new TreeMap<>();
     private final TreeMap<Long, TrackedJob> waiting = new TreeMap<>();
-    private final Set<Demand> blocked = new HashSet<>();
+    private final Map<Demand, DemandState> demands = new HashMap<>();
     private final Map<String, Integer> waitingOfTeam = new TreeMap<>();
     private final Comparator<ServerState> serverOrder;
     private final boolean strictQueue;
@@ -97,12 +95,12 @@
     private void configure(Configuration next) {
         configuration = next;
         cluster.configure(next);
-        blocked.clear();
+        demands.values().forEach(demand -> demand.blocked = false);
     }
 
     private void join(PolicyEvent.ServerJoined joined) {
         cluster.join(joined.server());
-        blocked.clear();
+        demands.values().forEach(demand -> demand.blocked = false);
     }
 
     private void submit(JobRequest request, List<PolicyDecision> decisions) {
@@ -169,13 +167,14 @@
         TrackedJob job = attempt.job;
         job.attempt = null;
         cluster.release(attempt.placements, job.shape().part());
-        blocked.clear();
+        demands.values().forEach(demand -> demand.blocked = false);
         if (ended.result() == AttemptResult.REFUSED) {
             pause(ended.servers(), nowMilliseconds + REFUSAL_PAUSE_MILLISECONDS);
         }
         if (ended.result() == AttemptResult.FAILED) {
             job.failures++;
             job.failedServers.addAll(ended.servers());
+            job.demand = null;
         }
         boolean over =
                 ended.result() == AttemptResult.SUCCEEDED || ended.result() == AttemptResult.CANCELLED || job.cancelled;
@@ -195,8 +194,8 @@
     }
 
     private void tick(long nowMilliseconds, List<PolicyDecision> decisions) {
-        blocked.clear();
-        Map<Demand, Boolean> possible = new HashMap<>();
+        demands.values().forEach(demand -> demand.blocked = false);
+        Map<DemandState, Boolean> possible = new HashMap<>();
         List.copyOf(waiting.values()).forEach(job -> {
             boolean fits = possible.computeIfAbsent(
                     demand(job), demand -> cluster.fitsWhenEmpty(job.shape(), server -> accepts(job, server)));
@@ -244,8 +243,8 @@
         Iterator<TrackedJob> iterator = waiting.values().iterator();
         while (iterator.hasNext()) {
             TrackedJob job = iterator.next();
-            Demand demand = demand(job);
-            if (blocked.contains(demand) || nowMilliseconds > job.request.deadlineMilliseconds()) {
+            DemandState demand = demand(job);
+            if (demand.blocked || nowMilliseconds > job.request.deadlineMilliseconds()) {
                 if (strictQueue) {
                     return;
                 }
@@ -257,7 +256,7 @@
                     server -> server.isUsable(nowMilliseconds) && accepts(job, server),
                     serverOrder);
             if (placements.isEmpty()) {
-                blocked.add(demand);
+                demand.blocked = true;
                 if (strictQueue) {
                     return;
                 }
@@ -269,9 +268,15 @@
         }
     }
 
-    private static Demand demand(TrackedJob job) {
-        return new Demand(
-                job.request.team(), job.shape(), job.request.template().capabilities(), job.failedServers);
+    private DemandState demand(TrackedJob job) {
+        if (job.demand == null) {
+            Set<String> mayNotUse = new TreeSet<>(job.failedServers);
+            // Teams may use different servers, so a demand of one team says nothing about another.
+            mayNotUse.add("team " + job.request.team());
+            Demand demand = new Demand(job.shape(), job.request.template().capabilities(), mayNotUse);
+            job.demand = demands.computeIfAbsent(demand, DemandState::new);
+        }
+        return job.demand;
     }
 
     private Place place(TrackedJob job, List<PartPlacement> placements, long nowMilliseconds) {
@@ -312,10 +317,4 @@
     public double fragmentation() {
         return Fragmentation.of(cluster, waiting.values(), configuration);
     }
-
-    private record Demand(String team, Shape shape, Set<String> capabilities, Set<String> failedServers) {
-        Demand {
-            failedServers = new TreeSet<>(failedServers);
-        }
-    }
 }
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/TrackedJob.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/TrackedJob.java
@@ -31,6 +31,8 @@
     Claim claim;
     /** The class in which the job waits, set on its first wait and when its failed servers change. */
     WaitingClass waitingClass;
+    /** Outcome of the last search, null until it is needed; used by {@link FirstFitScheduler} alone. */
+    DemandState demand;
     /** Since when the job waits, for the present wait. */
     long queuedMilliseconds;
     /** Run time that checkpoints of ended attempts have saved. */
