Keep the state of servers that a declaration does not name

Cause: apply put every drained backend server that the file does not name back into service, because the file was taken as the whole list of states. Change: diff and apply merge service states; templates and teams stay whole. The simulated worker of the fuzzing follows the worker's new replies.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeWorker.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeWorker.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.teaselwood.model.Answer;
 import org.teaselwood.protocol.message.TaskSpecification;
@@ -23,6 +25,8 @@
     private final Oracle oracle;
     private final Map<TaskIdentifier, Task> tasks = new TreeMap<>();
     private final List<Listing> listings = new ArrayList<>();
+    private final Set<TaskIdentifier> forgotten = new TreeSet<>();
+    private final long workerIncarnation;
     private String incarnation = "";
     private long version;
     private boolean failsEverything;
@@ -34,7 +38,8 @@
         this.time = time;
         this.server = server;
         this.oracle = oracle;
-        this.version = 1 + time.nowMilliseconds() * 1_000;
+        this.workerIncarnation = 1 + time.nowMilliseconds() * 1_000;
+        this.version = workerIncarnation;
     }
 
     /** Ends with its VM: everything that runs stops at once. */
@@ -80,6 +85,7 @@
         incarnation = adopt.incarnation();
         tasks.values().stream().filter(Task::isRunning).forEach(task -> task.renew(adopt.leaseMilliseconds()));
         return new WorkerReply.Adopted(
+                workerIncarnation,
                 version,
                 tasks.values().stream()
                         .filter(task -> task.specification != null)
@@ -104,7 +110,9 @@
 
     private WorkerReply listing() {
         return new WorkerReply.Tasks(
-                version, tasks.values().stream().map(Task::status).toList());
+                workerIncarnation,
+                version,
+                tasks.values().stream().map(Task::status).toList());
     }
 
     private WorkerReply run(WorkerCall.Run run) {
@@ -112,8 +120,14 @@
         if (known != null) {
             return new WorkerReply.Ran(known.status());
         }
+        if (run.workerIncarnation() != workerIncarnation) {
+            return new WorkerReply.Refused(WorkerReply.Reason.OTHER_WORKER, "the worker was restarted");
+        }
         if (!run.incarnation().equals(incarnation)) {
-            return new WorkerReply.Refused("another agent has adopted this worker");
+            return new WorkerReply.Refused(WorkerReply.Reason.OTHER_AGENT, "another agent has adopted this worker");
+        }
+        if (forgotten.contains(run.task())) {
+            return new WorkerReply.Refused(WorkerReply.Reason.INVALID, "the task was forgotten");
         }
         Task task = new Task(run);
         tasks.put(run.task(), task);
@@ -137,7 +151,7 @@
     private WorkerReply answer(TaskIdentifier identifier) {
         Task task = tasks.get(identifier);
         if (task == null || task.state != State.SUCCEEDED) {
-            return new WorkerReply.Refused("the task has no answer");
+            return new WorkerReply.Refused(WorkerReply.Reason.INVALID, "the task has no answer");
         }
         Answer answer = Answer.of(Workload.partAnswer(task.specification, identifier.part()));
         return new WorkerReply.AnswerContent(answer.content(), answer.length(), answer.checksum());
@@ -146,6 +160,7 @@
     private void forget(TaskIdentifier identifier) {
         onRunning(identifier, task -> task.end(State.STOPPED, ""));
         tasks.remove(identifier);
+        forgotten.add(identifier);
         changed();
     }
 
--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/ApplyCommand.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/ApplyCommand.java
@@ -31,7 +31,7 @@
     ExitCode run(EntryClient client, Console console) {
         Configuration declared = Declarations.read(Path.of(file));
         Configuration inForce = client.configuration();
-        ConfigurationDifference difference = ConfigurationDifference.between(inForce, declared);
+        ConfigurationDifference difference = DeclarationChange.difference(inForce, declared);
         Configuration result =
                 difference.isEmpty() ? inForce : publish(client, DeclarationChange.of(inForce, difference));
         boolean everywhere = !dryRun && new RevisionWaiter(client).await(result.revision());
--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/DeclarationChange.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/DeclarationChange.java
@@ -15,6 +15,17 @@
 public final class DeclarationChange {
     private DeclarationChange() {}
 
+    /**
+     * What declarations differ in from the configuration in force. A backend server that they do not name keeps its
+     * service state: otherwise publishing a template would put a drained server back into service.
+     */
+    public static ConfigurationDifference difference(Configuration inForce, Configuration declared) {
+        Map<String, ServiceState> states = new TreeMap<>(inForce.serverStates());
+        states.putAll(declared.serverStates());
+        return ConfigurationDifference.between(
+                inForce, new Configuration(declared.revision(), declared.templates(), declared.teams(), states));
+    }
+
     /** The change with a new identifier; it is refused when the configuration has moved since it was read. */
     public static ConfigurationChange of(Configuration inForce, ConfigurationDifference difference) {
         Map<String, ServiceState> states = new TreeMap<>();
--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/DiffCommand.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/DiffCommand.java
@@ -22,7 +22,7 @@
     ExitCode run(EntryClient client, Console console) {
         Configuration declared = Declarations.read(Path.of(file));
         Configuration inForce = client.configuration();
-        ConfigurationDifference difference = ConfigurationDifference.between(inForce, declared);
+        ConfigurationDifference difference = DeclarationChange.difference(inForce, declared);
         JsonObject json = new JsonObject()
                 .put("revision", inForce.revision())
                 .put("differences", new JsonArray(difference.lines()));
