--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.teaselwood.entry.core.EntryContext;
 import org.teaselwood.entry.core.Outbox;
@@ -49,6 +50,9 @@
     private final JobMirror mirror;
     private final PlacerState state;
     private final RegionWork work;
+    /** Carries out changes of the configuration. */
+    private final BiConsumer<Requester, FrontRequest.ChangeConfiguration> changes;
+
     private final Deque<Queued> queued = new ArrayDeque<>();
     /** Relays that have sent all their snapshots under the present term over their present connection. */
     private final Set<String> answered = new TreeSet<>();
@@ -85,7 +89,14 @@
     }
 
     /** A placer that is passive. */
-    public Placer(EntryContext context, Outbox outbox, Membership membership, Scheduler scheduler, Replies replies) {
+    public Placer(
+            EntryContext context,
+            Outbox outbox,
+            Membership membership,
+            Scheduler scheduler,
+            Replies replies,
+            BiConsumer<Requester, FrontRequest.ChangeConfiguration> changes) {
+        this.changes = changes;
         this.context = context;
         this.outbox = outbox;
         this.membership = membership;
@@ -121,7 +132,7 @@
      */
     public boolean request(Requester requester, FrontRequest request) {
         if (role == Role.ACTIVE) {
-            work.request(requester, request);
+            carryOut(requester, request);
         } else if (role == Role.COLLECTING) {
             queue(requester, request);
         }
@@ -334,7 +345,7 @@
         work.begin(copy);
         List<Queued> requests = List.copyOf(queued);
         queued.clear();
-        requests.forEach(request -> work.request(request.requester(), request.request()));
+        requests.forEach(request -> carryOut(request.requester(), request.request()));
     }
 
     private void deactivate() {
@@ -351,6 +362,14 @@
         requests.forEach(request -> state.reply(request.requester(), Refused.of(ErrorKind.NO_PLACER)));
     }
 
+    private void carryOut(Requester requester, FrontRequest request) {
+        if (request instanceof FrontRequest.ChangeConfiguration change) {
+            changes.accept(requester, change);
+        } else {
+            work.request(requester, request);
+        }
+    }
+
     private void queue(Requester requester, FrontRequest request) {
         queued.removeIf(earlier -> earlier.requester().equals(requester));
         if (queued.size() >= MAXIMUM_QUEUED) {
