Keep the demand of jobs that failed somewhere known while they wait

Cause: a waiting class of jobs with failed servers is dropped when its last job leaves, and its demand with it. A job that came back with the same failed servers was put into the dropped class, and another class could share the dropped demand. A demand that is not known is marked as not fitting for ever, because freed capacity unblocks only the known ones.

Change: a job that comes back gets its class looked up again, and a demand is dropped with the last class that uses it.

--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/FairQueue.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/FairQueue.java
@@ -72,9 +72,8 @@
 
     void add(TrackedJob job, long nowMilliseconds) {
         job.queuedMilliseconds = nowMilliseconds;
-        if (job.waitingClass == null || !job.waitingClass.key.failedServers().equals(job.failedServers)) {
-            job.waitingClass = classOf(job);
-        }
+        // A class of jobs that failed somewhere is dropped with its last job, so an earlier one may be out of use.
+        job.waitingClass = classOf(job);
         WaitingClass home = job.waitingClass;
         if (home.jobs.isEmpty()) {
             refresh(home);
@@ -99,11 +98,19 @@
             waitingOfTeam.get(home.key.team()).remove(home.number);
             if (!home.key.failedServers().isEmpty()) {
                 known.remove(home.key);
-                demands.remove(home.demand.demand);
+                dropDemand(home.demand);
             }
         }
     }
 
+    /** A demand that another class shares stays, so that freed capacity unblocks it. */
+    private void dropDemand(DemandState demand) {
+        demand.classes--;
+        if (demand.classes == 0) {
+            demands.remove(demand.demand);
+        }
+    }
+
     private WaitingClass classOf(TrackedJob job) {
         WaitingClass.Key key = new WaitingClass.Key(
                 job.request.team(),
@@ -115,6 +122,7 @@
         if (home == null) {
             Demand demand = new Demand(key.template().shape(), key.template().capabilities(), key.failedServers());
             home = new WaitingClass(key, nextNumber++, demands.computeIfAbsent(demand, DemandState::new));
+            home.demand.classes++;
             known.put(key, home);
         }
         return home;
--- a/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
+++ b/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
@@ -217,6 +217,26 @@
         assertThat(ends(fixture.decisions)).hasSize(6);
     }
 
+    /** Guards against a job that failed once, was stopped, and is never tried again although a server is free. */
+    @Test
+    void a_job_that_failed_and_was_stopped_runs_again_when_its_server_returns() {
+        fixture.withServers(2, 4);
+        Shape whole = shape(1, 4, Level.SERVER);
+        fixture.submit(fixture.request("x", "t", whole));
+        String first =
+                places(fixture.decisions).getFirst().placements().getFirst().server();
+        String second = first.equals("s00") ? "s01" : "s00";
+        fixture.started("x", 1);
+        fixture.ended("x", 1, AttemptResult.FAILED, first);
+        fixture.started("x", 2);
+        fixture.send(new PolicyEvent.ServerUnavailable(second));
+        fixture.ended("x", 2, AttemptResult.STOPPED);
+        fixture.tick(1_000);
+        int index = Integer.parseInt(second.substring(1));
+        fixture.send(new PolicyEvent.ServerJoined(server(index, 4, PLAIN)));
+        assertThat(places(fixture.tick(1_000))).hasSize(1);
+    }
+
     /** Guards against retries without end by a team whose work always fails. */
     @Test
     void a_team_without_retry_budget_gets_the_failure_at_once() {
