Begin every term of a placer with a new policy

Until now an entry that stepped down fed its policy the loss of every server and the end of every attempt, with decisions muted, so that the policy would know nothing when the entry became placer again. That depends on the policy leaving nothing behind. The entry core is given a supplier instead and begins every term with a new policy. No violation is known that this removes.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/World.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/World.java
@@ -121,9 +121,7 @@
 
     EntryCore newCore(EntryAddress address, EntryEffects effects) {
         return new EntryCore(
-                EntryCoreSettings.of(address, REGION, "start-" + startedProcesses, balancer(), 0),
-                schedulers.get(),
-                effects);
+                EntryCoreSettings.of(address, REGION, "start-" + startedProcesses, balancer(), 0), schedulers, effects);
     }
 
     /** Starts an entry with a new identifier and address, as a replaced VM has them. */
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.teaselwood.entry.membership.Membership;
 import org.teaselwood.entry.placer.Placer;
 import org.teaselwood.entry.relay.AgentRelay;
@@ -35,14 +36,14 @@
     private boolean drained;
 
     /** A core that has heard of nobody yet. */
-    public EntryCore(EntryCoreSettings settings, Scheduler scheduler, EntryEffects effects) {
+    public EntryCore(EntryCoreSettings settings, Supplier<Scheduler> schedulers, EntryEffects effects) {
         context = new EntryContext(settings, effects);
         membership = new Membership(context);
         outbox = new Outbox(context, membership);
         relay = new AgentRelay(context, outbox, membership);
-        placer = new Placer(context, outbox, membership, scheduler, this::replyTo, this::changeConfiguration);
-        configuration = new ConfigurationDesk(
-                context, outbox, membership, this::replyTo, this::apply, scheduler::checkGuarantees);
+        placer = new Placer(context, outbox, membership, schedulers, this::replyTo, this::changeConfiguration);
+        configuration =
+                new ConfigurationDesk(context, outbox, membership, this::replyTo, this::apply, placer::checkGuarantees);
         desk = new FrontDesk(context, outbox, membership, placer);
     }
 
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/JobQueries.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/JobQueries.java
@@ -15,7 +15,6 @@
 import org.teaselwood.model.JobIdentifier;
 import org.teaselwood.model.JobState;
 import org.teaselwood.model.TeaselwoodException;
-import org.teaselwood.policy.Scheduler;
 import org.teaselwood.protocol.message.EntryMessage.JobRecord;
 import org.teaselwood.protocol.message.FrontReply;
 import org.teaselwood.protocol.message.FrontReply.Refused;
@@ -29,12 +28,12 @@
 final class JobQueries {
     private final PlacerState state;
     private final JobLifecycle lifecycle;
-    private final Scheduler scheduler;
+    private final PolicyDriver policy;
 
-    JobQueries(PlacerState state, JobLifecycle lifecycle, Scheduler scheduler) {
+    JobQueries(PlacerState state, JobLifecycle lifecycle, PolicyDriver policy) {
         this.state = state;
         this.lifecycle = lifecycle;
-        this.scheduler = scheduler;
+        this.policy = policy;
     }
 
     void query(Requester requester, FrontRequest.QueryJob request) {
@@ -73,7 +72,7 @@
             if (!job.repeatable() && !state.context().store().reachable()) {
                 lines.add("not repeatable: waits for the key-value service before it starts");
             }
-            lines.addAll(scheduler.explain(job.identifier(), state.now()));
+            lines.addAll(policy.scheduler().explain(job.identifier(), state.now()));
             state.reply(requester, new FrontReply.ExplainReply(List.copyOf(lines)));
         });
     }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.teaselwood.entry.core.EntryContext;
 import org.teaselwood.entry.core.Outbox;
@@ -18,6 +19,7 @@
 import org.teaselwood.entry.jobs.JobMirror;
 import org.teaselwood.entry.jobs.TransactionBatcher;
 import org.teaselwood.entry.membership.Membership;
+import org.teaselwood.model.Configuration;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.Term;
 import org.teaselwood.policy.Scheduler;
@@ -93,7 +95,7 @@
             EntryContext context,
             Outbox outbox,
             Membership membership,
-            Scheduler scheduler,
+            Supplier<Scheduler> schedulers,
             Replies replies,
             BiConsumer<Requester, FrontRequest.ChangeConfiguration> changes) {
         this.changes = changes;
@@ -102,7 +104,16 @@
         this.membership = membership;
         this.mirror = new JobMirror(context, outbox);
         this.state = new PlacerState(context, outbox, mirror, replies::reply);
-        this.work = new RegionWork(state, membership, scheduler, new TransactionBatcher(context));
+        this.work = new RegionWork(state, membership, schedulers, new TransactionBatcher(context));
+    }
+
+    /**
+     * Checks that the guarantees of a configuration fit on the backend servers that this placer knows.
+     *
+     * @throws org.teaselwood.model.TeaselwoodException when they do not
+     */
+    public void checkGuarantees(Configuration next) {
+        work.scheduler().checkGuarantees(next);
     }
 
     /** The present role. */
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/PolicyDriver.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/PolicyDriver.java
@@ -4,8 +4,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.teaselwood.entry.core.EntryContext;
-import org.teaselwood.policy.AttemptResult;
 import org.teaselwood.policy.PolicyDecision;
 import org.teaselwood.policy.PolicyEvent;
 import org.teaselwood.policy.Scheduler;
@@ -16,15 +16,16 @@
  */
 final class PolicyDriver {
     private final EntryContext context;
-    private final Scheduler scheduler;
+    private final Supplier<Scheduler> schedulers;
     private final Deque<PolicyEvent> events = new ArrayDeque<>();
     private Consumer<PolicyDecision> decisions = decision -> {};
+    private Scheduler scheduler;
     private boolean running;
-    private boolean muted;
 
-    PolicyDriver(EntryContext context, Scheduler scheduler) {
+    PolicyDriver(EntryContext context, Supplier<Scheduler> schedulers) {
         this.context = context;
-        this.scheduler = scheduler;
+        this.schedulers = schedulers;
+        this.scheduler = schedulers.get();
     }
 
     /** Sets who carries decisions out. */
@@ -32,9 +33,10 @@
         decisions = consumer;
     }
 
-    /** Carries out no decision while the policy is told to forget everything; what it places meanwhile ends at once. */
-    void mute(boolean newMuted) {
-        muted = newMuted;
+    /** Begins with a policy that knows nothing, because what an earlier term left in it holds no more. */
+    void restart() {
+        scheduler = schedulers.get();
+        events.clear();
     }
 
     /** Feeds events; no event that a decision causes comes between them. */
@@ -47,19 +49,13 @@
         try {
             while (!events.isEmpty()) {
                 List<PolicyDecision> decided = scheduler.handle(events.poll(), context.now());
-                decided.forEach(muted ? this::refuse : decisions);
+                decided.forEach(decisions);
             }
         } finally {
             running = false;
         }
     }
 
-    private void refuse(PolicyDecision decision) {
-        if (decision instanceof PolicyDecision.Place place) {
-            events.add(new PolicyEvent.AttemptEnded(place.attempt(), AttemptResult.CANCELLED, List.of()));
-        }
-    }
-
     Scheduler scheduler() {
         return scheduler;
     }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionWork.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionWork.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.teaselwood.entry.core.Requester;
 import org.teaselwood.entry.jobs.Job;
 import org.teaselwood.entry.jobs.JobKeys;
@@ -16,7 +17,6 @@
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.ServiceState;
 import org.teaselwood.model.TeaselwoodException;
-import org.teaselwood.policy.AttemptResult;
 import org.teaselwood.policy.PolicyEvent;
 import org.teaselwood.policy.Scheduler;
 import org.teaselwood.protocol.message.AgentCommand;
@@ -46,16 +46,16 @@
 
     private long policyTickAt = Long.MIN_VALUE;
 
-    RegionWork(PlacerState state, Membership membership, Scheduler scheduler, TransactionBatcher batcher) {
+    RegionWork(PlacerState state, Membership membership, Supplier<Scheduler> schedulers, TransactionBatcher batcher) {
         this.state = state;
         this.membership = membership;
         this.batcher = batcher;
-        this.policy = new PolicyDriver(state.context(), scheduler);
+        this.policy = new PolicyDriver(state.context(), schedulers);
         this.lifecycle = new JobLifecycle(state, policy);
         this.store = new JobStore(state.context(), batcher, this);
         this.recovery = new Recovery(state, lifecycle, store);
         this.submissions = new Submissions(state, lifecycle, recovery, store);
-        this.queries = new JobQueries(state, lifecycle, scheduler);
+        this.queries = new JobQueries(state, lifecycle, policy);
         lifecycle.storeIn(store);
     }
 
@@ -63,6 +63,11 @@
         return store;
     }
 
+    /** The policy, as long as this entry is the placer. */
+    Scheduler scheduler() {
+        return policy.scheduler();
+    }
+
     /** Starts placing with the standby's copy of the table, the records and the agents known so far. */
     void begin(List<JobRecord> copy) {
         store.begin(state.term());
@@ -75,23 +80,9 @@
         recovery.settle();
     }
 
-    /** Stops placing: the policy forgets what it was told, and callers are sent on. */
+    /** Stops placing; callers are sent on. */
     void end() {
-        policy.mute(true);
-        state.directory().all().stream()
-                .filter(agent -> !agent.lost())
-                .forEach(agent -> policy.feed(new PolicyEvent.ServerLost(agent.name())));
-        state.attempts().stream()
-                .filter(attempt -> attempt.policyIdentifier() != null)
-                .forEach(attempt -> {
-                    state.close(attempt);
-                    state.scheduled().remove(attempt.job().identifier());
-                    policy.feed(new PolicyEvent.JobCancelled(attempt.job().identifier()));
-                    policy.feed(new PolicyEvent.AttemptEnded(
-                            attempt.policyIdentifier(), AttemptResult.CANCELLED, List.of()));
-                });
-        List.copyOf(state.scheduled()).forEach(job -> policy.feed(new PolicyEvent.JobCancelled(job)));
-        policy.mute(false);
+        policy.restart();
         store.end();
         submissions.end();
         queries.end();
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryAssembly.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryAssembly.java
@@ -54,7 +54,7 @@
                 processSettings(settings),
                 service,
                 (self, registered, effects) -> new EntryCore(
-                        coreSettings(settings, self, registered), new GuaranteeScheduler(), effects)::handle);
+                        coreSettings(settings, self, registered), GuaranteeScheduler::new, effects)::handle);
     }
 
     private static ProcessSettings processSettings(EntrySettings settings) {
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/VirtualRegion.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/VirtualRegion.java
@@ -72,7 +72,7 @@
             this.address = address;
             core = new EntryCore(
                     EntryCoreSettings.of(address, REGION, incarnation, List.copyOf(seeds), 0),
-                    new FirstFitScheduler(),
+                    FirstFitScheduler::new,
                     this);
         }
 
