Keep the worker replies of a worker that is never started again

Cause: the fuzzing's worker has no incarnation, and replies got one.

Change: shorter constructors for such a worker.

Conclusion: the fuzzing compiles unchanged.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/worker/WorkerReply.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/worker/WorkerReply.java
@@ -13,7 +13,12 @@
      *
      * @param workerIncarnation differs for every start of the worker
      */
-    record Adopted(long workerIncarnation, long version, List<AdoptedTask> tasks) implements WorkerReply {}
+    record Adopted(long workerIncarnation, long version, List<AdoptedTask> tasks) implements WorkerReply {
+        /** Reply of a worker that is never started again. */
+        public Adopted(long version, List<AdoptedTask> tasks) {
+            this(0, version, tasks);
+        }
+    }
 
     /**
      * Reply to ListTasks.
@@ -21,7 +26,12 @@
      * @param workerIncarnation differs for every start of the worker
      * @param version differs after every change of a task's state or checkpoint, and after a restart of the worker
      */
-    record Tasks(long workerIncarnation, long version, List<WorkerTask> tasks) implements WorkerReply {}
+    record Tasks(long workerIncarnation, long version, List<WorkerTask> tasks) implements WorkerReply {
+        /** Reply of a worker that is never started again. */
+        public Tasks(long version, List<WorkerTask> tasks) {
+            this(0, version, tasks);
+        }
+    }
 
     /** Reply to Run. */
     record Ran(WorkerTask status) implements WorkerReply {}
@@ -39,7 +49,12 @@
     record AnswerContent(byte[] content, int length, int checksum) implements WorkerReply {}
 
     /** The worker did not carry out the call; the detail says why. */
-    record Refused(Reason reason, String detail) implements WorkerReply {}
+    record Refused(Reason reason, String detail) implements WorkerReply {
+        /** A call that makes no sense. */
+        public Refused(String detail) {
+            this(Reason.INVALID, detail);
+        }
+    }
 
     /** Why the worker refused a call. */
     enum Reason {
