--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/EntryDirectory.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/EntryDirectory.java
@@ -1,5 +1,9 @@
 package org.teaselwood.agent.core;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -15,7 +19,6 @@
 public final class EntryDirectory {
     private static final long FIRST_DELAY_MILLISECONDS = 100;
     private static final long LONGEST_DELAY_MILLISECONDS = 5_000;
-    private static final long HASH_MULTIPLIER = 0x9E3779B97F4A7C15L;
 
     private final String server;
     private final String dataCentre;
@@ -93,7 +96,12 @@
     }
 
     private long hash(EntryAddress entry) {
-        long mixed = (server + "/" + entry.entry()).hashCode() * HASH_MULTIPLIER;
-        return mixed ^ (mixed >>> 32);
+        try {
+            byte[] text = (server + "/" + entry.entry()).getBytes(StandardCharsets.UTF_8);
+            return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(text))
+                    .getLong();
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException(exception);
+        }
     }
 }
