Return to the own data centre, and connect again after a failed handshake

Cause: a handshake that failed while another connection was open blocked later connects, and an agent that fled to another data centre stayed there.

Change: the connector counts a try as ended whatever ends it; 30 s after a welcome from another data centre the agent connects to an entry of its own, if there is one. Tests of the simulated worker and of a silent entry.

--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/EntryConnector.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/EntryConnector.java
@@ -29,6 +29,9 @@
     private static final int CONNECT_MILLISECONDS = 2_000;
     private static final long HANDSHAKE_MILLISECONDS = 3_000;
 
+    /** An agent that fled to another data centre returns after this time, when the entries of its own are stable. */
+    private static final long RETURN_MILLISECONDS = 30_000;
+
     private final Vertx vertx;
     private final Context context;
     private final NetClient client;
@@ -63,7 +66,19 @@
     }
 
     void learned(String connectedEntry, List<EntryAddress> entries) {
-        context.runOnContext(ignored -> directory.learned(connectedEntry, entries));
+        context.runOnContext(ignored -> {
+            directory.learned(connectedEntry, entries);
+            if (directory.prefersAnother()) {
+                long delay = RETURN_MILLISECONDS + directory.delayMilliseconds();
+                vertx.setTimer(delay, timer -> returnToOwnDataCentre());
+            }
+        });
+    }
+
+    private void returnToOwnDataCentre() {
+        if (directory.prefersAnother()) {
+            connectNext();
+        }
     }
 
     void send(long link, AgentMessage message) {
@@ -91,6 +106,7 @@
                 .onFailure(failure -> {
                     LOGGER.warn(
                             "cannot connect to entry {}:{}: {}", address.host(), address.port(), failure.toString());
+                    connecting = false;
                     retry();
                 });
     }
@@ -106,8 +122,8 @@
         });
     }
 
+    /** Connects to the next entry after a delay, unless a connection is open. */
     private void retry() {
-        connecting = false;
         directory.failed();
         if (connections.isEmpty()) {
             vertx.setTimer(directory.delayMilliseconds(), ignored -> connectUnlessConnected());
@@ -153,11 +169,12 @@
         @Override
         public void closed(MessageConnection connection) {
             closed = true;
-            boolean opened = connections.remove(number) != null;
-            if (opened) {
+            if (connections.remove(number) == null) {
+                connecting = false;
+            } else {
                 sink.offer(new AgentEvent.LinkClosed(number));
             }
-            if (connections.isEmpty() && (opened || connecting)) {
+            if (!connecting) {
                 retry();
             }
         }
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/EntryDirectory.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/EntryDirectory.java
@@ -59,6 +59,13 @@
                 .or(() -> last);
     }
 
+    /** Whether the last entry is in another data centre while the own one has entries. */
+    public boolean prefersAnother() {
+        return !entries.isEmpty()
+                && entries.getFirst().dataCentre().equals(dataCentre)
+                && last.filter(entry -> entry.dataCentre().equals(dataCentre)).isEmpty();
+    }
+
     /** The next entry to try: the one after the last in order of preference. */
     public EntryAddress next() {
         List<EntryAddress> candidates =
--- a/teaselwood-agent/src/test/java/org/teaselwood/agent/AgentProcessTest.java
+++ b/teaselwood-agent/src/test/java/org/teaselwood/agent/AgentProcessTest.java
@@ -17,6 +17,7 @@
 import org.teaselwood.model.PartPhase;
 import org.teaselwood.model.PartResources;
 import org.teaselwood.model.Term;
+import org.teaselwood.protocol.MessageConnection;
 import org.teaselwood.protocol.SharedKey;
 import org.teaselwood.protocol.message.AgentCommand;
 import org.teaselwood.protocol.message.AgentMessage;
@@ -98,6 +99,19 @@
         assertThat(worker.runs()).containsExactly(new TaskIdentifier(ATTEMPT, 0));
     }
 
+    /** Guards against an agent that stays with an entry that is paused or cut off. */
+    @Test
+    void a_silent_entry_is_left_after_six_seconds() throws Exception {
+        entry.await(AgentMessage.AgentHello.class, hello -> true);
+        entry.fallSilent();
+        MessageConnection first = entry.connection();
+        long start = System.nanoTime();
+        entry.clear();
+        entry.await(AgentMessage.AgentHello.class, hello -> true);
+        assertThat(entry.connection()).isNotSameInstanceAs(first);
+        assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - start)).isAtLeast(3);
+    }
+
     /** Guards against an agent that stays without an entry, or does not repeat its answers, after a lost connection. */
     @Test
     void a_lost_connection_is_replaced_and_the_answer_is_sent_again() throws Exception {
--- a/teaselwood-agent/src/test/java/org/teaselwood/agent/core/EntryDirectoryTest.java
+++ b/teaselwood-agent/src/test/java/org/teaselwood/agent/core/EntryDirectoryTest.java
@@ -26,6 +26,15 @@
         assertThat(tried).containsExactly(ENTRIES.get(0), ENTRIES.get(1), ENTRIES.get(2), SEED);
     }
 
+    /** Guards against agents that stay in another data centre after the entries of their own have returned. */
+    @Test
+    void an_entry_of_the_own_data_centre_is_preferred_to_one_of_another() {
+        directory.learned("e2", ENTRIES);
+        assertThat(directory.prefersAnother()).isTrue();
+        assertThat(directory.next().dataCentre()).isEqualTo("d1");
+        assertThat(directory.prefersAnother()).isFalse();
+    }
+
     /** Guards against agents that all connect to the same entry. */
     @Test
     void agents_spread_over_the_entries_of_their_data_centre() {
