--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/Main.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/Main.java
@@ -36,14 +36,18 @@
     /** Exits with 0, with 64 for wrong usage, or with 78 for wrong settings. */
     public static void main(String[] arguments) {
         limitMemory();
-        int status = new Main().run(arguments);
+        int status = run(arguments);
         if (status >= 0) {
             System.exit(status);
         }
     }
 
     /** The exit status, or -1 when the agent was started and runs. */
-    private int run(String[] arguments) {
+    static int run(String[] arguments) {
+        return new Main().parse(arguments);
+    }
+
+    private int parse(String[] arguments) {
         JCommander commander = JCommander.newBuilder()
                 .programName("teaselwood-agent")
                 .addObject(this)
