--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/DemoCommand.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/DemoCommand.java
@@ -18,6 +18,9 @@
     @Parameter(names = "--rounds", description = "How many times each job is submitted")
     private int rounds = 2;
 
+    @Parameter(names = "--keep-seconds", description = "Keep the cluster running for this time after the jobs")
+    private int keepSeconds;
+
     @Parameter(names = "--help", help = true, description = "Show the options of this command")
     private boolean help;
 
@@ -31,7 +34,7 @@
         if (!Files.isDirectory(directory)) {
             throw new CommandException(ExitCode.USAGE, directory + " is not a directory; use --examples");
         }
-        return new Demo(console, new LabFiles(directory), rounds).run();
+        return new Demo(console, new LabFiles(directory), rounds, keepSeconds).run();
     }
 
     @Override
--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/demo/Demo.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/demo/Demo.java
@@ -15,6 +15,7 @@
 import org.teaselwood.cli.Console;
 import org.teaselwood.cli.EntryClient;
 import org.teaselwood.cli.ExitCode;
+import org.teaselwood.cli.JobWaiter;
 import org.teaselwood.cli.demo.DemoJob.Result;
 import org.teaselwood.model.Configuration;
 import org.teaselwood.model.JobSubmission;
@@ -24,16 +25,19 @@
     private final Console console;
     private final LabFiles files;
     private final int rounds;
+    private final int keepSeconds;
 
     /**
      * A demo.
      *
      * @param rounds how many times each job of the Lab is submitted
+     * @param keepSeconds time for which the cluster is kept after the jobs, for a look at it
      */
-    public Demo(Console console, LabFiles files, int rounds) {
+    public Demo(Console console, LabFiles files, int rounds, int keepSeconds) {
         this.console = console;
         this.files = files;
         this.rounds = rounds;
+        this.keepSeconds = keepSeconds;
     }
 
     /** Runs the demo; OK only if every answer is whole and right. */
@@ -46,6 +50,11 @@
             console.line("published the Lab's declarations as revision " + configuration.revision());
             List<Result> results = runJobs(cluster, configuration);
             summarize(results, operator.region());
+            if (keepSeconds > 0) {
+                console.line("the cluster is kept for " + keepSeconds + " s; status page: "
+                        + cluster.fronts().getFirst() + "/status (password: the operators' token)");
+                JobWaiter.pause(keepSeconds * 1_000L);
+            }
             return results.stream().allMatch(Result::right) ? ExitCode.OK : ExitCode.FAILED;
         }
     }
--- a/teaselwood-cli/src/test/java/org/teaselwood/cli/demo/LabClusterTest.java
+++ b/teaselwood-cli/src/test/java/org/teaselwood/cli/demo/LabClusterTest.java
@@ -159,7 +159,7 @@
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         Console console = new Console(new PrintStream(output), System.err);
 
-        assertThat(new Demo(console, FILES, 1).run()).isEqualTo(ExitCode.OK);
+        assertThat(new Demo(console, FILES, 1, 0).run()).isEqualTo(ExitCode.OK);
         assertThat(output.toString(StandardCharsets.UTF_8)).contains("1 of 1 answers whole and right");
     }
 
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/http/HttpSettings.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/HttpSettings.java
@@ -42,11 +42,14 @@
         }
     }
 
+    /** HTTP/1.1 only: {@code Connection: close} tells callers to leave, and HTTP/2 has no such header. */
     HttpServerOptions options() {
         HttpServerOptions options = new HttpServerOptions()
                 .setHost(host)
                 .setPort(port)
                 .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
+                .setHttp2ClearTextEnabled(false)
+                .setUseAlpn(false)
                 .setCompressionSupported(false);
         tls.ifPresent(certificate -> options.setSsl(true).setKeyCertOptions(certificate.options()));
         return options;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ConfigurationWatch.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ConfigurationWatch.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 import org.teaselwood.entry.core.EntryEvent;
 import org.teaselwood.entry.metrics.EntryMetrics;
 import org.teaselwood.store.KeyValue;
@@ -24,6 +25,8 @@
     private final EntryMetrics metrics;
     private AutoCloseable watch;
     private boolean closed;
+    /** Whether the present outage was logged; one is enough. */
+    private volatile boolean reported;
     /** Rises with every opening, so that a late report of an earlier watch is not taken for the present one. */
     private long generation;
 
@@ -45,6 +48,7 @@
         watch = service.watch(PREFIX, new KeyValueService.WatchListener() {
             @Override
             public void opened() {
+                reported = false;
                 tellCore();
             }
 
@@ -70,7 +74,9 @@
         if (closed || opened != generation) {
             return;
         }
-        LOGGER.warn("the configuration watch is broken: {}", String.valueOf(cause));
+        LOGGER.atLevel(reported ? Level.DEBUG : Level.WARN)
+                .log("the configuration watch is broken: {}", String.valueOf(cause));
+        reported = true;
         generation++;
         closeWatch();
         vertx.setTimer(REOPEN_MILLISECONDS, ignored -> open());
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
@@ -124,7 +124,7 @@
         links.start(sink);
         watch = new ConfigurationWatch(vertx, service, sink, metrics);
         watch.open();
-        registration = new EntryRegistration(vertx, service, settings.region(), self, settings.storeTimeout());
+        registration = new EntryRegistration(vertx, service, settings.region(), self, settings.storeTimeout(), metrics);
         registration.start();
         return this;
     }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryRegistration.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryRegistration.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.teaselwood.entry.metrics.EntryMetrics;
 import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
 import org.teaselwood.store.KeyValue;
 import org.teaselwood.store.KeyValueOperation;
@@ -31,17 +32,25 @@
     private final String region;
     private final EntryAddress self;
     private final Duration timeout;
+    private final EntryMetrics metrics;
     /** 0 while there is none. */
     private volatile long lease;
 
     private volatile boolean closed;
 
-    EntryRegistration(Vertx vertx, KeyValueService service, String region, EntryAddress self, Duration timeout) {
+    EntryRegistration(
+            Vertx vertx,
+            KeyValueService service,
+            String region,
+            EntryAddress self,
+            Duration timeout,
+            EntryMetrics metrics) {
         this.vertx = vertx;
         this.service = service;
         this.region = region;
         this.self = self;
         this.timeout = timeout;
+        this.metrics = metrics;
     }
 
     /** Addresses of the entries of a region that hold a lease; empty when the service does not answer in time. */
@@ -62,10 +71,10 @@
             return;
         }
         Uni<Void> step = lease == 0 ? register() : service.renewLease(lease);
-        step.ifNoItem().after(timeout).fail().subscribe().with(ignored -> again(), failure -> {
+        step.ifNoItem().after(timeout).fail().subscribe().with(ignored -> ended(true), failure -> {
             LOGGER.debug("the registration failed: {}", String.valueOf(failure.getMessage()));
             lease = 0;
-            again();
+            ended(false);
         });
     }
 
@@ -82,7 +91,8 @@
                 .recoverWithNull();
     }
 
-    private void again() {
+    private void ended(boolean succeeded) {
+        metrics.storeCalled("Lease", succeeded);
         vertx.setTimer(RENEWAL_MILLISECONDS, ignored -> start());
     }
 
