--- a/teaselwood-protocol/src/test/java/org/teaselwood/protocol/MessageCodecTest.java
+++ b/teaselwood-protocol/src/test/java/org/teaselwood/protocol/MessageCodecTest.java
@@ -85,14 +85,14 @@
                 new FrontReply.RegionReply(new RegionView(
                         "r",
                         "entry-1",
-                        new Term(4, "entry-1"),
-                        7,
-                        6,
+                        Term.NONE,
+                        3,
+                        2,
                         true,
-                        0.25,
-                        List.of(),
+                        0.5,
+                        List.of(new AgentCommand.EntryAddress("entry-1", "d", "127.0.0.1", 7000)),
                         List.of(),
-                        Map.of("winding", 2),
+                        Map.of("winding", 3),
                         Map.of())),
                 new FrontReply.ConfigurationReply(new Configuration(
                         3, Map.of("render", template), Map.of(), Map.of("w1", ServiceState.DRAINING))));
