Serve entitled work first and count small work by its slowdown

Small jobs waited for gangs because their cost was counted in accelerator time.

Change: an empty unit moves to the place whose borrowers cost least when its job may not run where it is; larger work takes over running work only. Small work displaces once the slowdown of its class reaches the slowdown caused. The stream makes work without accelerators last, in the documented share.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/Referee.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/Referee.java
@@ -66,7 +66,7 @@
 
     /** A job begins to wait, at its submission or after an attempt. */
     void waits(JobRequest request, long now) {
-        waiting.put(request.job(), new Waiting(request, now));
+        waiting.put(request.job(), new Waiting(request, now, entitlement(request)));
         waitingByTeam
                 .computeIfAbsent(request.team(), team -> new HashMap<>())
                 .merge(request.template(), 1, Integer::sum);
@@ -169,16 +169,16 @@
             entitlements.values().forEach(entitlement -> entitlement.update(false, now));
         }
         Map<Entitlement, Long> oldest = new HashMap<>();
-        Map<Entitlement, String> oldestJobs = new HashMap<>();
+        Map<Entitlement, JobRequest> oldestJobs = new HashMap<>();
         for (Waiting waits : waiting.values()) {
             if (waits.placedMilliseconds < 0 && isWatching(now)) {
-                Entitlement entitlement = entitlement(waits.request);
-                entitlement.update(isEntitled(waits.request), now);
+                Entitlement entitlement = waits.entitlement;
+                if (entitlement.checkedMilliseconds != now) {
+                    entitlement.checkedMilliseconds = now;
+                    entitlement.update(isEntitled(waits.request), now);
+                }
                 if (oldest.merge(entitlement, waits.sinceMilliseconds, Math::min) == waits.sinceMilliseconds) {
-                    oldestJobs.put(
-                            entitlement,
-                            waits.request.job() + " " + waits.request.template().name() + " of "
-                                    + waits.request.team());
+                    oldestJobs.put(entitlement, waits.request);
                 }
                 if (waits.request.urgent()) {
                     waits.updateUrgent(isEntitledAsUrgent(waits.request), now);
@@ -193,7 +193,9 @@
                 entitlement.violated = true;
                 figures.guaranteeViolations++;
                 if (TRACE) {
-                    System.err.println("violation at " + now + " since " + from + " by " + oldestJobs.get(entitlement));
+                    System.err.println("violation at " + now + " since " + from + " by "
+                            + oldestJobs.get(entitlement).job() + " of "
+                            + oldestJobs.get(entitlement).team());
                 }
             }
         });
@@ -324,11 +326,13 @@
     private static final class Waiting {
         private final JobRequest request;
         private final long sinceMilliseconds;
+        private final Entitlement entitlement;
         private long placedMilliseconds = -1;
         private long urgentEntitledMilliseconds = -1;
 
-        Waiting(JobRequest request, long sinceMilliseconds) {
+        Waiting(JobRequest request, long sinceMilliseconds, Entitlement entitlement) {
             this.request = request;
+            this.entitlement = entitlement;
             this.sinceMilliseconds = sinceMilliseconds;
         }
 
@@ -344,6 +348,7 @@
     /** Since when a team is entitled to start a template, -1 while it is not. */
     private static final class Entitlement {
         private long sinceMilliseconds = -1;
+        private long checkedMilliseconds = -1;
         private boolean violated;
 
         void update(boolean entitled, long now) {
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/WorkStream.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/WorkStream.java
@@ -56,9 +56,10 @@
     static WorkStream of(Deployment deployment, long seed, double load) {
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         List<Draft> drafts = new ArrayList<>();
-        for (WorkClass work : deployment.classes()) {
-            addClass(deployment, work, load, random, drafts);
-        }
+        // The number of jobs without accelerators follows from the number of the others.
+        deployment.classes().stream()
+                .sorted(Comparator.comparing(work -> work.accelerators() == 0))
+                .forEach(work -> addClass(deployment, work, load, random, drafts));
         drafts.sort(Comparator.comparingLong(Draft::submittedMilliseconds).thenComparingInt(Draft::order));
         List<long[]> waves = waves(deployment, random);
         List<SimulatedJob> jobs = new ArrayList<>();
@@ -120,7 +121,7 @@
     }
 
     private static int jobsWithoutAccelerators(WorkClass work, int others) {
-        return Math.max(400, (int) (others * work.share() / (1 - work.share())));
+        return (int) (others * work.share() / (1 - work.share()));
     }
 
     private static List<long[]> waves(Deployment deployment, UniformRandomProvider random) {
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Displacement.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Displacement.java
@@ -19,6 +19,14 @@
     /** A job may displace work whose expected remaining time is at least this many times its own. */
     private static final double SHORTER_FACTOR = 2;
 
+    /** Nothing is displaced for a job that waits for less. */
+    private static final long SHORTEST_WAIT_MILLISECONDS = 2_000;
+
+    private static final long SHORTEST_RUN_MILLISECONDS = 10_000;
+
+    /** Waiting jobs of one class that count together, because the victim's place holds several of them. */
+    private static final int MOST_TOGETHER = 8;
+
     private final PolicyState state;
 
     Displacement(PolicyState state) {
@@ -38,8 +46,13 @@
 
     private void displaceFor(TrackedJob job) {
         long waited = state.now - job.queuedMilliseconds;
-        long gain = (long) (waited * Math.max(1.0, job.size()));
-        if (gain < StopCosts.RESTART_MILLISECONDS
+        long run = Math.max(SHORTEST_RUN_MILLISECONDS, job.waitingClass.typicalRunMilliseconds);
+        boolean isShort = !Reservations.isLarge(job.shape());
+        int together = Math.min(MOST_TOGETHER, job.waitingClass.jobs.size());
+        long gain = isShort
+                ? (long) ((double) StopCosts.SCALE * waited * together / run)
+                : (long) (waited * Math.max(1.0, job.size()));
+        if (waited < SHORTEST_WAIT_MILLISECONDS
                 || !state.queue.withinQuota(job.request.team(), job.accelerators())
                 || job.request.deadlineMilliseconds() < state.now) {
             return;
@@ -50,7 +63,9 @@
                 job.shape(),
                 ground(job),
                 victim -> mayDisplace(job, victim, overdue),
-                victim -> StopCosts.of(victim, state.now),
+                isShort
+                        ? victim -> StopCosts.slowdown(victim, state.now, run, state.runTimes)
+                        : victim -> StopCosts.of(victim, state.now),
                 overdue ? Long.MAX_VALUE : gain);
         if (found != null) {
             state.claim(job, found, null, "job " + job.request.job() + " has waited longer than a move costs");
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteedStarts.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteedStarts.java
@@ -66,6 +66,7 @@
                 || startOnMoved(job, units)
                 || (job.mayBorrow() && !job.request.urgent() && borrowedStarts.start(job, true))
                 || startOnReclaimed(job, units)
+                || startOnMovedAndReclaimed(job, units)
                 || startInsteadOfOwn(job);
     }
 
@@ -166,8 +167,39 @@
         return true;
     }
 
+    /**
+     * Moves an empty unit to the place whose borrowers cost the least, for a job that may not run where the unit is.
+     */
+    private boolean startOnMovedAndReclaimed(TrackedJob job, List<GuaranteeUnit> units) {
+        for (GuaranteeUnit unit : units) {
+            if (!unit.isEmpty()) {
+                continue;
+            }
+            LayeredRoom room = new LayeredRoom(
+                    false,
+                    LayeredRoom.Promises.ANCHORED,
+                    server -> state.mayStart(job, server) && Cluster.isCapable(server, unit.capabilities));
+            VictimSearch.Found found = VictimSearch.cheapest(
+                    state.cluster.cells(unit.shape.adjacency()).values(),
+                    unit.shape,
+                    ground(room, unit.shape),
+                    attempt -> attempt.job.unit == null,
+                    attempt -> StopCosts.of(attempt, state.now),
+                    Long.MAX_VALUE);
+            if (found != null
+                    && state.packer.moveTo(unit, found.placements())
+                    && startOnReclaimed(job, List.of(unit))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private VictimSearch.Ground ground(GuaranteeUnit unit, TrackedJob job) {
-        UnitRoom room = new UnitRoom(unit, false, server -> state.mayStart(job, server));
+        return ground(new UnitRoom(unit, false, server -> state.mayStart(job, server)), job.shape());
+    }
+
+    private static VictimSearch.Ground ground(Room room, Shape shape) {
         return new VictimSearch.Ground() {
             @Override
             public long accelerators(ServerState server) {
@@ -176,7 +208,7 @@
 
             @Override
             public int mostParts(ServerState server) {
-                return room.fit(server, job.shape().part());
+                return room.fit(server, shape.part());
             }
         };
     }
@@ -188,7 +220,9 @@
         for (GuaranteeUnit unit : state.plan.unitsOf(job.request.team())) {
             int used =
                     unit.occupants.stream().mapToInt(TrackedJob::accelerators).sum();
-            boolean yields = (mustStart || job.accelerators() > used)
+            boolean larger =
+                    job.accelerators() > used && unit.occupants.stream().allMatch(occupant -> occupant.attempt != null);
+            boolean yields = (mustStart || larger)
                     && unit.isPlaced()
                     && !unit.excess
                     && !unit.isEmpty()
@@ -209,7 +243,10 @@
         }
         List.copyOf(best.occupants).forEach(this::makeYield);
         List<GuaranteeUnit> units = List.of(best);
-        return startOnFree(job, units) || startOnMoved(job, units) || startOnReclaimed(job, units);
+        return startOnFree(job, units)
+                || startOnMoved(job, units)
+                || startOnReclaimed(job, units)
+                || startOnMovedAndReclaimed(job, units);
     }
 
     private boolean mayStartOn(TrackedJob job, String name) {
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Reservations.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Reservations.java
@@ -51,7 +51,8 @@
         }
     }
 
-    private static boolean isLarge(Shape shape) {
+    /** Whether a shape needs several servers or accelerators that small work scatters over. */
+    static boolean isLarge(Shape shape) {
         return shape.parts() > 1 || shape.part().accelerators() > 2;
     }
 
