Ignore messages on connections that are closed

Cause: a repeated hello that arrived after its connection had closed made a connection that never opened count as the newest one, and the real ones were closed for it. Two entries then did not see each other and displaced each other for ever. The start of an entry was also slowed by a hello that was repeated.

Change: the core keeps the set of open connections; a connection that an entry closes itself is forgotten at once.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -27,6 +27,8 @@
     private final Placer placer;
     private final FrontDesk desk;
     private final ConfigurationDesk configuration;
+    /** Connections that are open; what arrives late on another one is ignored. */
+    private final Set<Long> openLinks = new HashSet<>();
     /** Connections of agents. */
     private final Set<Long> agentLinks = new HashSet<>();
 
@@ -54,10 +56,15 @@
     public void handle(EntryEvent event, long nowMilliseconds) {
         context.advance(nowMilliseconds);
         switch (event) {
-            case EntryEvent.LinkAccepted ignored -> {}
-            case EntryEvent.LinkConnected connected -> membership.connected(connected.link());
+            case EntryEvent.LinkAccepted accepted -> openLinks.add(accepted.link());
+            case EntryEvent.LinkConnected connected -> {
+                openLinks.add(connected.link());
+                membership.connected(connected.link());
+            }
             case EntryEvent.ConnectFailed ignored -> {}
-            case EntryEvent.MessageReceived received -> received(received.link(), received.message());
+            case EntryEvent.MessageReceived received
+            when openLinks.contains(received.link()) -> received(received.link(), received.message());
+            case EntryEvent.MessageReceived ignored -> {}
             case EntryEvent.LinkClosed closed -> closed(closed.link());
             case EntryEvent.FrontRequested requested -> requested(requested.token(), requested.request());
             case EntryEvent.FrontAbandoned abandoned -> desk.abandoned(abandoned.token());
@@ -157,6 +164,7 @@
     }
 
     private void closed(long link) {
+        openLinks.remove(link);
         if (agentLinks.remove(link)) {
             relay.closed(link);
         } else {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Membership.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Membership.java
@@ -64,11 +64,11 @@
         String entry = message.address().entry();
         if (entry.equals(context.self())
                 || !message.region().equals(context.settings().region())) {
-            context.effects().closeLink(link);
+            close(link);
             return false;
         }
         Peer peer = peers.computeIfAbsent(entry, name -> new Peer(message.address(), context.now()));
-        peer.greeted(message, link, context.now()).forEach(context.effects()::closeLink);
+        peer.greeted(message, link, context.now()).forEach(this::close);
         entryOfLink.put(link, entry);
         if (!openedHere.contains(link)) {
             context.effects().send(link, hello());
@@ -76,7 +76,7 @@
         context.effects().send(link, heartbeat());
         context.effects().send(link, new EntryMessage.KnownEntries(addresses()));
         if (context.self().compareTo(entry) < 0) {
-            peer.links().stream().filter(open -> open != link).toList().forEach(context.effects()::closeLink);
+            peer.links().stream().filter(open -> open != link).toList().forEach(this::close);
         }
         return true;
     }
@@ -135,7 +135,7 @@
                 .filter(peer -> context.now() - peer.heardAt() >= dead)
                 .flatMap(peer -> List.copyOf(peer.links()).stream())
                 .toList()
-                .forEach(context.effects()::closeLink);
+                .forEach(this::close);
         peers.values().stream()
                 .filter(peer -> peer.links().isEmpty())
                 .map(Peer::address)
@@ -245,6 +245,12 @@
         return peer.alive(context.now(), context.timings().suspicionMilliseconds());
     }
 
+    /** Closes a connection and forgets it, whether or not its closing is reported. */
+    private void close(long link) {
+        context.effects().closeLink(link);
+        closed(link);
+    }
+
     private void connect(EntryAddress address, long interval) {
         String place = place(address);
         if (place.equals(place(context.settings().self()))
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/relay/AgentRelay.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/relay/AgentRelay.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -68,9 +69,9 @@
 
     /** A connection closed. */
     public void closed(long link) {
-        String server = serverOfLink.remove(link);
-        if (server != null) {
-            agents.get(server).open = false;
+        Connected agent = agents.get(Objects.requireNonNullElse(serverOfLink.remove(link), ""));
+        if (agent != null && agent.link == link) {
+            agent.open = false;
             reportedAt = Long.MIN_VALUE;
         }
     }
@@ -128,7 +129,10 @@
         agents.values().stream()
                 .filter(agent ->
                         agent.open && silence(agent) >= context.timings().agentLostMilliseconds())
-                .forEach(agent -> context.effects().closeLink(agent.link));
+                .forEach(agent -> {
+                    agent.open = false;
+                    context.effects().closeLink(agent.link);
+                });
         long dropped = 3 * context.timings().agentLostMilliseconds();
         agents.values().removeIf(agent -> !agent.open && silence(agent) >= dropped);
     }
