Count an answer that its agent has forgotten as lost

Cause: an agent that another placer had told to forget an attempt answered the repeated Start with a refusal, which did not change the part that had succeeded, so its job waited for ever.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/AttemptPart.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/AttemptPart.java
@@ -69,6 +69,11 @@
         }
     }
 
+    /** Whether an agent that reports a phase has forgotten the part although its answer has not arrived. */
+    boolean answerGone(PartPhase reported) {
+        return succeeded() && answer == null && reported == PartPhase.RELEASED;
+    }
+
     void answered(Answer whole) {
         answer = whole;
     }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/AttemptProtocol.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/AttemptProtocol.java
@@ -79,6 +79,9 @@
                 }
                 part.seenAt(agent.name(), agent.incarnation());
             }
+            if (part.answerGone(reply.report().phase())) {
+                part.lose();
+            }
             int checkpoint = attempt.commonCheckpoint();
             part.report(reply.report(), state.now());
             if (!reply.refusal().isEmpty() && reply.request().equalsIgnoreCase(part.command())) {
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/AttemptTest.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/AttemptTest.java
@@ -143,6 +143,19 @@
         assertThat(query(job).answerLength()).isEqualTo(5);
     }
 
+    /** Guards against a job that waits for ever for an answer that its agent was told to forget by another placer. */
+    @ParameterizedTest
+    @CsvSource({"true, RUNNING", "false, UNKNOWN"})
+    void an_answer_that_the_agent_has_forgotten_is_lost(boolean repeatable, JobState expected) {
+        JobView job = submitted("plan", repeatable);
+        FakeAgent agent = running().getFirst();
+        PartKey part = agent.running().getFirst();
+        agent.end(part, PartPhase.SUCCEEDED, "");
+        agent.parts.remove(part);
+        region.run(5_000);
+        assertThat(query(job).state()).isEqualTo(expected);
+    }
+
     /** Guards against cancelled work that goes on or is reported otherwise. */
     @ParameterizedTest
     @ValueSource(strings = {"plan", "gang"})
