Test the planned stop of the placer, with jobs that run at most once

Cause: the test stopped an entry that may have been only a front, and did not look at the jobs that it had accepted. Change: the placer is stopped; its load are submissions that run at most once, and each accepted one must end as succeeded at another entry.

--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/demo/LabFiles.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/demo/LabFiles.java
@@ -35,7 +35,7 @@
 
     private static final String SUFFIX = ".ini";
     private static final long REQUEST_MILLISECONDS = 800;
-    private static final long JOB_MILLISECONDS = 3_000;
+    private static final long JOB_MILLISECONDS = 2_000;
 
     private final Path directory;
 
--- a/teaselwood-cli/src/test/java/org/teaselwood/cli/demo/EntryProcessesTest.java
+++ b/teaselwood-cli/src/test/java/org/teaselwood/cli/demo/EntryProcessesTest.java
@@ -13,17 +13,18 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.UUID;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.teaselwood.cli.EntryClient;
@@ -34,7 +35,6 @@
 import org.teaselwood.model.Configuration;
 import org.teaselwood.model.JobSubmission;
 import org.teaselwood.standins.keyvalue.KeyValueStandIn;
-import org.teaselwood.standins.worker.WorkerStandIn;
 
 /** Guards what callers see when a real entry process is killed or asked to stop. Bounded in requests and time. */
 class EntryProcessesTest {
@@ -46,16 +46,18 @@
     private static final int RENDER_PARTS = 3;
 
     @TempDir
-    private Path directory;
-
-    private final Vertx vertx = Vertx.vertx();
-    private EntryProcesses entries;
-    private LabServers servers;
-    private EntryClient client;
-    private Configuration configuration;
-
-    @BeforeEach
-    void start() throws Exception {
+    private static Path directory;
+
+    private static Vertx vertx;
+    private static EntryProcesses entries;
+    private static LabServers servers;
+    private static EntryClient client;
+    private static Configuration configuration;
+
+    /** Three entries serve both tests: each test ends one of them, and one is left. */
+    @BeforeAll
+    static void start() throws Exception {
+        vertx = Vertx.vertx();
         KeyValueStandIn store = new KeyValueStandIn(vertx);
         entries =
                 new EntryProcesses(directory, LabCluster.await(store.listen(0)).port());
@@ -70,8 +72,8 @@
         configuration = ClusterClients.publish(client, FILES.declarations());
     }
 
-    @AfterEach
-    void stop() {
+    @AfterAll
+    static void stop() {
         client.close();
         servers.close();
         entries.close();
@@ -80,18 +82,19 @@
 
     @Test
     void a_gang_survives_the_kill_of_its_placer_and_runs_once() throws Exception {
-        JobSubmission render = submission(
+        JobSubmission render = new JobSubmission(
+                UUID.randomUUID().toString(),
+                true,
                 "carillon",
                 "chime-tuning-render",
-                Map.of("chime", "cathedral", "bells", "18", "run-milliseconds", "5000"));
+                Map.of("chime", "cathedral", "bells", "18", "run-milliseconds", "5000"),
+                0,
+                true,
+                false);
         String job = client.submit(render).getString("job");
         awaitState(job, "running");
 
-        String placer = client.region().getString("placer");
-        Started killed = entries.started().stream()
-                .filter(entry -> entry.entry().equals(placer))
-                .findFirst()
-                .orElseThrow();
+        Started killed = placer();
         assertThat(client.job(job).getString("state")).isEqualTo("running");
         killed.process().destroyForcibly();
 
@@ -100,96 +103,121 @@
         assertThat(ended.getInteger("attempt")).isEqualTo(1);
         Answer expected = ExpectedAnswers.of(render, configuration.templates().get(render.template()));
         assertThat(client.answer(job)).isEqualTo(expected);
-        assertThat(client.region().getString("placer")).isNotEqualTo(placer);
+        assertThat(placer()).isNotEqualTo(killed);
         assertThat(servers.workers().stream()
-                        .map(WorkerStandIn::runs)
-                        .mapToInt(List::size)
-                        .sum())
+                        .flatMap(worker -> worker.runs().stream())
+                        .filter(task -> task.attempt().job().value().equals(job))
+                        .count())
                 .isEqualTo(RENDER_PARTS);
     }
 
     @Test
-    void an_entry_that_is_asked_to_stop_under_load_cuts_no_request_short() throws Exception {
-        Started leaving = entries.started().getFirst();
-        ConcurrentLinkedQueue<String> cut = new ConcurrentLinkedQueue<>();
-        AtomicInteger whole = new AtomicInteger();
-        HttpClient http = HttpClient.newHttpClient();
+    void a_placer_that_is_asked_to_stop_under_load_cuts_no_request_short_and_loses_no_job() throws Exception {
+        Started leaving = placer();
+        Load load = new Load(leaving.front());
         try (ExecutorService executor = Executors.newFixedThreadPool(CLIENTS)) {
-            for (int index = 0; index < CLIENTS; index++) {
-                executor.submit(() -> load(http, leaving.front(), whole, cut));
-            }
-            for (int pauses = 0; whole.get() < REQUESTS_BEFORE_STOP && pauses < 1_000; pauses++) {
+            IntStream.range(0, CLIENTS).forEach(ignored -> executor.submit(load));
+            for (int pauses = 0; load.whole.get() < REQUESTS_BEFORE_STOP && pauses < 1_000; pauses++) {
                 TimeUnit.MILLISECONDS.sleep(20);
             }
             leaving.process().destroy();
         }
+        load.http.shutdownNow();
 
-        http.shutdownNow();
         assertThat(leaving.exitCode()).isEqualTo(0);
-        assertThat(cut).isEmpty();
-        assertThat(whole.get()).isAtLeast(REQUESTS_BEFORE_STOP + CLIENTS);
+        assertThat(load.cut).isEmpty();
+        assertThat(load.whole.get()).isAtLeast(REQUESTS_BEFORE_STOP + CLIENTS);
+        for (String job : load.accepted) {
+            JsonObject ended = new JobWaiter(client, state -> {}).waitFor(job, WAIT_MILLISECONDS);
+            assertThat(ended.getString("state")).isEqualTo("succeeded");
+        }
+    }
+
+    /** The live entry that acts as placer. */
+    private static Started placer() {
+        String placer = client.region().getString("placer");
+        return entries.started().stream()
+                .filter(entry -> entry.entry().equals(placer))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static void awaitState(String job, String state) {
+        JsonObject seen = client.job(job);
+        for (int changes = 0; changes < 50 && !seen.getString("state").equals(state); changes++) {
+            seen = client.waitForChange(job, seen.getLong("version"), 1_000);
+        }
+        assertThat(seen.getString("state")).isEqualTo(state);
     }
 
     /**
      * Sends submissions and waits in turn, until the entry tells by {@code Connection: close} that it leaves. A caller
-     * behind the balancer is moved away by the failing {@code /readyz} in the same way.
+     * behind the balancer is moved away by the failing {@code /readyz} in the same way. The submissions run at most
+     * once, so each has a record that outlives the entry.
      */
-    private static void load(HttpClient http, String front, AtomicInteger whole, ConcurrentLinkedQueue<String> cut) {
-        for (int index = 0; index < REQUESTS_OF_A_CLIENT; index++) {
-            try {
-                HttpResponse<String> response = http.send(planRequest(front), BodyHandlers.ofString());
-                new JsonObject(response.body());
-                whole.incrementAndGet();
-                if (leaves(response)) {
-                    return;
-                }
-                String location = response.headers().firstValue("location").orElseThrow();
-                HttpRequest wait = request(front + location + "/wait?timeoutMilliseconds=100")
-                        .build();
-                HttpResponse<String> waited = http.send(wait, BodyHandlers.ofString());
-                new JsonObject(waited.body());
-                whole.incrementAndGet();
-                if (leaves(waited)) {
+    private static final class Load implements Runnable {
+        private final HttpClient http = HttpClient.newHttpClient();
+        private final AtomicInteger whole = new AtomicInteger();
+        private final Queue<String> cut = new ConcurrentLinkedQueue<>();
+        private final Queue<String> accepted = new ConcurrentLinkedQueue<>();
+        private final String front;
+
+        Load(String front) {
+            this.front = front;
+        }
+
+        @Override
+        public void run() {
+            for (int index = 0; index < REQUESTS_OF_A_CLIENT; index++) {
+                try {
+                    if (leaves(submitAndWait())) {
+                        return;
+                    }
+                } catch (IOException | RuntimeException exception) {
+                    cut.add(exception.toString());
+                } catch (InterruptedException exception) {
+                    Thread.currentThread().interrupt();
                     return;
                 }
-            } catch (IOException | RuntimeException exception) {
-                cut.add(exception.toString());
-            } catch (InterruptedException exception) {
-                Thread.currentThread().interrupt();
-                return;
             }
         }
-    }
-
-    private static boolean leaves(HttpResponse<String> response) {
-        return response.headers().firstValue("connection").orElse("").equals("close");
-    }
 
-    private static HttpRequest planRequest(String front) {
-        JobSubmission plan = submission(
-                "winding-desk",
-                "winding-plan",
-                Map.of("district", "old-town", "clocks", "36", "run-milliseconds", "20"));
-        return request(front + "/v1/jobs")
-                .POST(BodyPublishers.ofString(JobJson.of(plan).encode()))
-                .build();
-    }
+        private HttpResponse<String> submitAndWait() throws IOException, InterruptedException {
+            JobSubmission plan = new JobSubmission(
+                    UUID.randomUUID().toString(),
+                    true,
+                    "winding-desk",
+                    "winding-plan",
+                    Map.of("district", "old-town", "clocks", "36", "run-milliseconds", "20"),
+                    0,
+                    false,
+                    false);
+            HttpResponse<String> submitted = send(request("/v1/jobs")
+                    .POST(BodyPublishers.ofString(JobJson.of(plan).encode())));
+            if (submitted.statusCode() / 100 != 2) {
+                return submitted;
+            }
+            String location = submitted.headers().firstValue("location").orElseThrow();
+            accepted.add(location.substring(location.lastIndexOf('/') + 1));
+            return leaves(submitted) ? submitted : send(request(location + "/wait?timeoutMilliseconds=100"));
+        }
 
-    private static JobSubmission submission(String team, String template, Map<String, String> parameters) {
-        return new JobSubmission(UUID.randomUUID().toString(), true, team, template, parameters, 0, true, false);
-    }
+        /** Fails unless the response is whole JSON. */
+        private HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
+            HttpResponse<String> response = http.send(request.build(), BodyHandlers.ofString());
+            new JsonObject(response.body());
+            whole.incrementAndGet();
+            return response;
+        }
 
-    private static HttpRequest.Builder request(String address) {
-        return HttpRequest.newBuilder(URI.create(address))
-                .version(HttpClient.Version.HTTP_1_1)
-                .timeout(Duration.ofSeconds(20));
-    }
+        private HttpRequest.Builder request(String path) {
+            return HttpRequest.newBuilder(URI.create(front + path))
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .timeout(Duration.ofSeconds(20));
+        }
 
-    private void awaitState(String job, String state) {
-        JsonObject seen = client.job(job);
-        for (int changes = 0; changes < 50 && !seen.getString("state").equals(state); changes++) {
-            seen = client.waitForChange(job, seen.getLong("version"), 1_000);
+        private static boolean leaves(HttpResponse<String> response) {
+            return response.headers().firstValue("connection").orElse("").equals("close");
         }
-        assertThat(seen.getString("state")).isEqualTo(state);
     }
 }
