Look up in the configuration which simulated servers are not in service

A change whose reply is lost may be in force, and replies of racing changes arrive in another order than their revisions, so what was accepted last by time of reply is not what is in force.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Operator.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Operator.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.LongConsumer;
 import org.teaselwood.model.ServiceState;
 import org.teaselwood.protocol.message.ConfigurationChange;
 import org.teaselwood.protocol.message.FrontReply;
@@ -15,9 +16,11 @@
     private static final int MAXIMUM_TRIES = 300;
 
     private final World world;
-    private final Map<String, ServiceState> wanted = new TreeMap<>();
+    /** Revision of the newest accepted change of a server's state; replies may arrive in another order. */
+    private final Map<String, Long> newestChange = new TreeMap<>();
+
     private final Map<String, Long> acceptedAt = new TreeMap<>();
-    private long highestAccepted;
+    private List<String> closed = List.of();
     private int changes;
 
     Operator(World world) {
@@ -39,7 +42,7 @@
 
     /** Publishes the first configuration and tries until it is accepted. */
     void publishFirst() {
-        publish(Workload.firstChange(), MAXIMUM_TRIES, () -> {});
+        publish(Workload.firstChange(), MAXIMUM_TRIES, revision -> {});
     }
 
     /** Publishes the service state of a backend server; gives up when another change came first. */
@@ -56,20 +59,32 @@
                         Workload.stateChange(
                                 "change-" + changes, shown.configuration().revision(), server, state),
                         MAXIMUM_TRIES,
-                        () -> stateAccepted(server, state));
+                        revision -> stateAccepted(server, state, revision));
             }
         });
     }
 
-    /** Service states that were accepted and are not in service. */
+    /** Looks up which backend servers are not in service; a change without a reply may be in force. */
+    void lookUpClosedServers() {
+        List<FakeEntry> ready = world.readyEntries();
+        if (!ready.isEmpty()) {
+            ready.getFirst().ask(new FrontRequest.QueryConfiguration(Principal.OPERATOR), reply -> {
+                if (reply instanceof FrontReply.ConfigurationReply shown) {
+                    closed = world.agents().stream()
+                            .map(agent -> agent.server().name())
+                            .filter(server -> shown.configuration().stateOf(server) != ServiceState.IN_SERVICE)
+                            .toList();
+                }
+            });
+        }
+    }
+
+    /** Backend servers that were not in service when they were looked up last. */
     List<String> closedServers() {
-        return wanted.entrySet().stream()
-                .filter(entry -> entry.getValue() != ServiceState.IN_SERVICE)
-                .map(Map.Entry::getKey)
-                .toList();
+        return closed;
     }
 
-    private void publish(ConfigurationChange change, int tries, Runnable accepted) {
+    private void publish(ConfigurationChange change, int tries, LongConsumer accepted) {
         List<FakeEntry> ready = world.readyEntries();
         if (tries == 0) {
             return;
@@ -84,8 +99,8 @@
             replied[0] = true;
             switch (reply) {
                 case FrontReply.ConfigurationReply done -> {
-                    accepted(done.configuration().revision());
-                    accepted.run();
+                    checkLater(done.configuration().revision());
+                    accepted.accept(done.configuration().revision());
                 }
                 case FrontReply.Refused refused -> refused(change, refused, tries, accepted);
                 default -> world.oracle().report("P8", world.time().nowMilliseconds(), "unexpected reply " + reply);
@@ -98,7 +113,7 @@
         });
     }
 
-    private void refused(ConfigurationChange change, FrontReply.Refused refused, int tries, Runnable accepted) {
+    private void refused(ConfigurationChange change, FrontReply.Refused refused, int tries, LongConsumer accepted) {
         switch (refused.kind()) {
             case REVISION_MOVED -> {
                 // Another operator was faster, and this one gives up.
@@ -110,8 +125,7 @@
         }
     }
 
-    private void accepted(long revision) {
-        highestAccepted = Math.max(highestAccepted, revision);
+    private void checkLater(long revision) {
         long acceptedAtTime = world.time().nowMilliseconds();
         world.time().schedule(Oracle.CONFIGURATION_MILLISECONDS, () -> checkInForce(revision, acceptedAtTime));
     }
@@ -135,8 +149,11 @@
                 }));
     }
 
-    private void stateAccepted(String server, ServiceState state) {
-        wanted.put(server, state);
+    private void stateAccepted(String server, ServiceState state, long revision) {
+        if (newestChange.getOrDefault(server, 0L) > revision) {
+            return;
+        }
+        newestChange.put(server, revision);
         long now = world.time().nowMilliseconds();
         acceptedAt.put(server, now);
         if (state == ServiceState.IN_SERVICE) {
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
@@ -260,6 +260,7 @@
         long limit = world.time().nowMilliseconds() + HEAL_LIMIT_MILLISECONDS;
         while (world.time().nowMilliseconds() < limit && !isSettled()) {
             world.advance(HEAL_STEP_MILLISECONDS);
+            operator.lookUpClosedServers();
             if (!world.disturbedSince(1)) {
                 operator.closedServers().stream()
                         .findFirst()
