--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteedStarts.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteedStarts.java
@@ -15,9 +15,9 @@
  * Starts work inside its team's guarantee. Confined to its scheduler's thread.
  *
  * <p>In this order: room in a unit that nobody holds; an empty unit moved to room that nobody holds; for work that may
- * borrow, free room anywhere; the place of a unit whose borrowers cost the least to stop. Urgent work, and work that
- * runs only inside the guarantee, may then take the unit of its own team's ordinary work, which goes on as borrowed
- * work until its place is needed.
+ * borrow, free room anywhere; the place of a unit whose borrowers cost the least to stop. Urgent work, work that
+ * runs only inside the guarantee, and larger work may then take the unit of its own team's ordinary work, which goes on
+ * as borrowed work until its place is needed.
  */
 final class GuaranteedStarts {
     private final PolicyState state;
@@ -30,9 +30,10 @@
 
     /** Tries the waiting work of all teams whose units or queue changed. */
     void run() {
-        while (!state.teamsToTry.isEmpty()) {
-            String team = state.teamsToTry.iterator().next();
-            state.teamsToTry.remove(team);
+        // A team that becomes placeable meanwhile waits for the next pass, so that a pass always ends.
+        List<String> teams = List.copyOf(state.teamsToTry);
+        state.teamsToTry.clear();
+        for (String team : teams) {
             if (!state.plan.unitsOf(team).isEmpty()) {
                 tryTeam(team);
             }
@@ -65,6 +66,7 @@
                 || startOnMoved(job, units)
                 || (job.mayBorrow() && !job.request.urgent() && borrowedStarts.start(job, true))
                 || startOnReclaimed(job, units)
+                || startOnMovedAndReclaimed(job, units)
                 || startInsteadOfOwn(job);
     }
 
@@ -127,6 +129,22 @@
     }
 
     private boolean startOnReclaimed(TrackedJob job, List<GuaranteeUnit> units) {
+        return reclaim(job, units) || dropBorrowedClaims(units) && reclaim(job, units);
+    }
+
+    /** Work that displaces borrowed work has no right to a place inside a guarantee; it waits again. */
+    private boolean dropBorrowedClaims(List<GuaranteeUnit> units) {
+        Set<String> servers = new HashSet<>();
+        units.forEach(unit -> servers.addAll(unit.area.keySet()));
+        List<TrackedJob> inTheWay = state.claims.values().stream()
+                .filter(job -> job.unit == null
+                        && job.claim.placements().stream().anyMatch(placement -> servers.contains(placement.server())))
+                .toList();
+        inTheWay.forEach(this::makeYield);
+        return !inTheWay.isEmpty();
+    }
+
+    private boolean reclaim(TrackedJob job, List<GuaranteeUnit> units) {
         GuaranteeUnit bestUnit = null;
         VictimSearch.Found best = null;
         for (GuaranteeUnit unit : units) {
@@ -149,8 +167,39 @@
         return true;
     }
 
+    /**
+     * Moves an empty unit to the place whose borrowers cost the least, for a job that may not run where the unit is.
+     */
+    private boolean startOnMovedAndReclaimed(TrackedJob job, List<GuaranteeUnit> units) {
+        for (GuaranteeUnit unit : units) {
+            if (!unit.isEmpty()) {
+                continue;
+            }
+            LayeredRoom room = new LayeredRoom(
+                    false,
+                    LayeredRoom.Promises.ANCHORED,
+                    server -> state.mayStart(job, server) && Cluster.isCapable(server, unit.capabilities));
+            VictimSearch.Found found = VictimSearch.cheapest(
+                    state.cluster.cells(unit.shape.adjacency()).values(),
+                    unit.shape,
+                    ground(room, unit.shape),
+                    attempt -> attempt.job.unit == null,
+                    attempt -> StopCosts.of(attempt, state.now),
+                    Long.MAX_VALUE);
+            if (found != null
+                    && state.packer.moveTo(unit, found.placements())
+                    && startOnReclaimed(job, List.of(unit))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private VictimSearch.Ground ground(GuaranteeUnit unit, TrackedJob job) {
-        UnitRoom room = new UnitRoom(unit, false, server -> state.mayStart(job, server));
+        return ground(new UnitRoom(unit, false, server -> state.mayStart(job, server)), job.shape());
+    }
+
+    private static VictimSearch.Ground ground(Room room, Shape shape) {
         return new VictimSearch.Ground() {
             @Override
             public long accelerators(ServerState server) {
@@ -159,19 +208,22 @@
 
             @Override
             public int mostParts(ServerState server) {
-                return room.fit(server, job.shape().part());
+                return room.fit(server, shape.part());
             }
         };
     }
 
     private boolean startInsteadOfOwn(TrackedJob job) {
-        if (!job.request.urgent() && job.mayBorrow()) {
-            return false;
-        }
+        boolean mustStart = job.request.urgent() || !job.mayBorrow();
         GuaranteeUnit best = null;
         long bestCost = Long.MAX_VALUE;
         for (GuaranteeUnit unit : state.plan.unitsOf(job.request.team())) {
-            boolean yields = unit.isPlaced()
+            int used =
+                    unit.occupants.stream().mapToInt(TrackedJob::accelerators).sum();
+            boolean larger =
+                    job.accelerators() > used && unit.occupants.stream().allMatch(occupant -> occupant.attempt != null);
+            boolean yields = (mustStart || larger)
+                    && unit.isPlaced()
                     && !unit.excess
                     && !unit.isEmpty()
                     && unit.occupants.stream().allMatch(GuaranteedStarts::mayYield)
@@ -191,7 +243,10 @@
         }
         List.copyOf(best.occupants).forEach(this::makeYield);
         List<GuaranteeUnit> units = List.of(best);
-        return startOnFree(job, units) || startOnMoved(job, units) || startOnReclaimed(job, units);
+        return startOnFree(job, units)
+                || startOnMoved(job, units)
+                || startOnReclaimed(job, units)
+                || startOnMovedAndReclaimed(job, units);
     }
 
     private boolean mayStartOn(TrackedJob job, String name) {
