Call an agent leaving in its hello only when it is stopping

Cause: AgentHello said leaving also while the configuration drained the backend server. Relay and placer keep that until the next hello, so an agent that connected while it was drained was never used again after it was put in service, and work queued for ever.

Ruled out: ghosts in the policy (nothing was held), the agent (it granted holds).

Change: the hello says leaving only for a stopping agent; the placer knows the service state from the configuration, and the agent goes on refusing holds.

--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/AgentCore.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/AgentCore.java
@@ -135,7 +135,7 @@
                         incarnation,
                         commands.term(),
                         commands.configurationRevision(),
-                        commands.refusesNewWork(),
+                        commands.isLeaving(),
                         parts.held()),
                 now);
         answers.repeatAll();
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeAgent.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeAgent.java
@@ -61,6 +61,20 @@
         return leaving;
     }
 
+    /** What hinders the agent from taking work, for traces. */
+    String condition() {
+        return "connected to " + connectedTo + " over link " + currentLink
+                + (refusesNewWork() ? ", refuses new work" : "")
+                + (leaving ? ", leaving" : "")
+                + (node.isDead() ? ", dead" : "")
+                + (node.isPaused() ? ", paused" : "");
+    }
+
+    /** Whether the agent itself would refuse a hold because its backend server takes no new work. */
+    boolean refusesNewWork() {
+        return core.refusesNewWork();
+    }
+
     void shutDown() {
         leaving = true;
         node.deliver(() -> handle(new AgentEvent.ShutdownRequested()));
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
@@ -277,6 +277,7 @@
             return;
         }
         waiting.forEach(FakeCaller::explain);
+        world.agents().forEach(agent -> world.trace(agent.node().name(), agent.condition()));
         world.advance(HEAL_STEP_MILLISECONDS);
         waiting.forEach(caller -> world.oracle()
                 .report(
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/AgentMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/AgentMessage.java
@@ -18,7 +18,7 @@
      * @param incarnation differs for every start of the agent process
      * @param term highest term seen
      * @param configurationRevision highest configuration revision it was told
-     * @param leaving whether it takes no new work
+     * @param leaving whether the agent is stopping; a service state of the configuration is not repeated here
      * @param parts every part it holds or remembers, tombstones included
      */
     record AgentHello(
