Judge reclaim, planned stops and two regions in the fuzzing harness

Adds a second region that shares the key-value service, callers in both regions with one key that is not repeatable, the loss of a rack, an isolated data centre and an outage of the key-value service for one region. A run ends on the healed cluster with an epilogue: borrowed work fills it, a guaranteed gang must start within 5.9 s when urgent and 5 s otherwise (P1), and two agents and two entries are stopped while work runs, which must cut nothing short (P6, P7). A process that exits with open requests or running tasks is reported, and the agent of a closed server must know it (P8). An outage of the key-value service excuses no late configuration within the region that accepted it any more. Work that is not repeatable may go on once from a checkpoint with which it was stopped.

--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Epilogue.java
@@ -0,0 +1,148 @@
+package org.teaselwood.bench.fuzz;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.teaselwood.model.Outcome;
+import org.teaselwood.model.Template;
+
+/**
+ * What a run ends with, on the healed cluster: the guaranteed shape is reclaimed from a cluster full of borrowed work
+ * (P1), then an agent and the placer's entries are stopped as planned while work runs and callers wait (P6, P7). Without
+ * a fault the bounds of the promises hold without exception. Confined to the thread of the virtual time.
+ */
+final class Epilogue {
+    /** Urgent work inside its guarantee starts within this time. */
+    private static final long URGENT_MILLISECONDS = 5_900;
+
+    /** Reclaim ends within the grace of 3 s and 2 s more. */
+    private static final long RECLAIM_MILLISECONDS = 5_000;
+
+    /** A quarantined server is probed after 15 s, a second time after 30 s and so on. */
+    private static final long FILL_LIMIT_MILLISECONDS = 300_000;
+
+    private static final long STOP_LIMIT_MILLISECONDS = 120_000;
+    private static final long STEP_MILLISECONDS = 100;
+    private static final long BORROWED_RUN_MILLISECONDS = 3_000_000;
+    private static final long GUARANTEED_RUN_MILLISECONDS = 2_000;
+    private static final long STOPPED_RUN_MILLISECONDS = 20_000;
+
+    private final World world;
+    private final Run run;
+    private final List<FakeCaller> borrowers = new ArrayList<>();
+    private int submissions;
+
+    Epilogue(World world, Run run) {
+        this.world = world;
+        this.run = run;
+    }
+
+    void execute() {
+        if (!reclaim()) {
+            return;
+        }
+        borrowers.forEach(FakeCaller::cancel);
+        advanceUntil(FILL_LIMIT_MILLISECONDS, () -> borrowers.stream().allMatch(FakeCaller::isDone));
+        stopWhileWorkRuns();
+    }
+
+    private boolean reclaim() {
+        int accelerators = Workload.ACCELERATORS * World.SERVERS_PER_DATA_CENTRE * World.DATA_CENTRES.size();
+        for (int index = 0; index < accelerators; index++) {
+            borrowers.add(submit(Workload.BORROWING_TEAM, Workload.SMALL, BORROWED_RUN_MILLISECONDS, true, false));
+        }
+        return fill(accelerators)
+                && startsWithin(URGENT_MILLISECONDS, true)
+                && fill(accelerators)
+                && startsWithin(RECLAIM_MILLISECONDS, false);
+    }
+
+    private boolean fill(int accelerators) {
+        boolean full = advanceUntil(
+                FILL_LIMIT_MILLISECONDS,
+                () -> agents().stream()
+                                .mapToInt(agent -> agent.worker().acceleratorsOf(Workload.BORROWING_TEAM))
+                                .sum()
+                        == accelerators);
+        if (!full) {
+            report("P1", "borrowed work does not fill the healed cluster");
+        }
+        return full;
+    }
+
+    private boolean startsWithin(long milliseconds, boolean urgent) {
+        FakeCaller caller = submit(Workload.GUARANTEED_TEAM, Workload.GANG, GUARANTEED_RUN_MILLISECONDS, true, urgent);
+        String key = caller.submission().requestKey();
+        boolean started = advanceUntil(
+                milliseconds,
+                () -> agents().stream()
+                                .filter(agent -> agent.worker().hasStarted(key))
+                                .count()
+                        == Workload.GANG.shape().parts());
+        if (!started) {
+            report("P1", "a guaranteed gang, urgent=" + urgent + ", has not started after " + milliseconds + " ms");
+        }
+        advanceUntil(STOP_LIMIT_MILLISECONDS, caller::isDone);
+        return started;
+    }
+
+    /** Nothing fails here, so every request must succeed, and one that is not repeatable in its first attempt. */
+    private void stopWhileWorkRuns() {
+        List<FakeCaller> callers = List.of(
+                submit(Workload.GUARANTEED_TEAM, Workload.GANG, STOPPED_RUN_MILLISECONDS, false, false),
+                submit(Workload.GUARANTEED_TEAM, Workload.SMALL, STOPPED_RUN_MILLISECONDS, false, false),
+                submit(Workload.GUARANTEED_TEAM, Workload.SHORT, STOPPED_RUN_MILLISECONDS, false, false),
+                submit(Workload.BORROWING_TEAM, Workload.SMALL, STOPPED_RUN_MILLISECONDS, true, false));
+        world.advance(RECLAIM_MILLISECONDS);
+        agents().stream().filter(agent -> agent.worker().isRunning()).limit(2).forEach(run::stopAgent);
+        List<FakeEntry> entries = world.readyEntries(World.REGION);
+        entries.stream().limit(2).forEach(run::stopEntry);
+        boolean done =
+                advanceUntil(STOP_LIMIT_MILLISECONDS, () -> callers.stream().allMatch(FakeCaller::isDone));
+        callers.stream()
+                .filter(caller -> !done && !caller.isDone() || caller.outcome() != Outcome.SUCCEEDED)
+                .forEach(caller -> report(
+                        "P7",
+                        "a planned stop cut " + caller.submission().identity() + " ("
+                                + caller.submission().template().name() + ") short: " + caller.outcome()));
+        boolean gone = advanceUntil(
+                STOP_LIMIT_MILLISECONDS,
+                () -> entries.stream().limit(2).allMatch(entry -> entry.node().isDead()));
+        if (!gone) {
+            report("P7", "a stopping entry does not exit");
+        }
+    }
+
+    private FakeCaller submit(
+            String team, Template template, long runMilliseconds, boolean repeatable, boolean urgent) {
+        submissions++;
+        return world.submit(
+                new Submission(
+                        team,
+                        "last-" + submissions,
+                        template,
+                        Workload.parameters(runMilliseconds, false),
+                        repeatable,
+                        urgent,
+                        false),
+                World.REGION);
+    }
+
+    private List<FakeAgent> agents() {
+        return world.agents().stream()
+                .filter(agent -> agent.server().region().equals(World.REGION))
+                .toList();
+    }
+
+    private boolean advanceUntil(long limitMilliseconds, BooleanSupplier condition) {
+        long limit = world.time().nowMilliseconds() + limitMilliseconds;
+        while (!condition.getAsBoolean() && world.time().nowMilliseconds() < limit) {
+            world.advance(STEP_MILLISECONDS);
+        }
+        return condition.getAsBoolean();
+    }
+
+    private void report(String promise, String text) {
+        world.oracle().report(promise, world.time().nowMilliseconds(), text);
+    }
+}
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeAgent.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeAgent.java
@@ -130,7 +130,7 @@
             return;
         }
         connecting = true;
-        List<EntryAddress> candidates = new ArrayList<>(world.balancer());
+        List<EntryAddress> candidates = new ArrayList<>(world.balancer(server.region()));
         candidates.sort(
                 Comparator.comparing((EntryAddress address) -> address.entry().equals(connectedTo))
                         .thenComparing(address -> !address.dataCentre().equals(server.dataCentre()))
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeCaller.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeCaller.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.teaselwood.model.ErrorAnswer;
+import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.JobIdentifier;
 import org.teaselwood.model.JobState;
 import org.teaselwood.model.Outcome;
@@ -23,7 +24,11 @@
     private final World world;
     private final Submission submission;
     private final Principal principal;
+    private String region;
     private int unansweredSubmissions;
+    /** Accepted submissions whose job is not known any more; they may have run. */
+    private int forgottenSubmissions;
+
     private Optional<JobIdentifier> job = Optional.empty();
     private Outcome outcome = Outcome.PENDING;
     private boolean cancelled;
@@ -31,8 +36,9 @@
     private int generation;
     private String explanation = "";
 
-    FakeCaller(World world, Submission submission) {
+    FakeCaller(World world, Submission submission, String region) {
         this.world = world;
+        this.region = region;
         this.submission = submission;
         this.principal = new Principal(submission.team(), false);
     }
@@ -75,7 +81,7 @@
 
     /** Asks why the job is where it is, for the report of a job that never ends. */
     void explain() {
-        List<FakeEntry> entries = world.readyEntries();
+        List<FakeEntry> entries = world.readyEntries(region);
         if (job.isPresent() && !entries.isEmpty()) {
             entries.getFirst()
                     .ask(new FrontRequest.ExplainJob(principal, job.get()), reply -> explanation = reply.toString());
@@ -109,7 +115,7 @@
     }
 
     private void ask(FrontRequest request, boolean submits, long timeoutMilliseconds) {
-        List<FakeEntry> entries = world.readyEntries();
+        List<FakeEntry> entries = world.readyEntries(region);
         if (entries.isEmpty()) {
             if (submits) {
                 unansweredSubmissions--;
@@ -174,21 +180,29 @@
     }
 
     private void checkCancelled(JobView view) {
-        if (view.state() == JobState.CANCELLED && !cancelled) {
+        if (view.state() == JobState.CANCELLED && !world.isCancelled(submission)) {
             world.oracle().report("P3", world.time().nowMilliseconds(), submission.identity() + " was never cancelled");
         }
     }
 
+    /** Whether nothing can have run but under the submission that was answered now. */
+    private boolean isOnlySubmission() {
+        return unansweredSubmissions == 0 && forgottenSubmissions == 0 && !submission.inBothRegions();
+    }
+
     private void refused(FrontReply.Refused refused, boolean submits) {
+        if (refused.kind() == ErrorKind.OTHER_REGION) {
+            region = region.equals(World.REGION) ? World.SECOND_REGION : World.REGION;
+        }
         if (submits && refused.outcome() == Outcome.NOT_RUN) {
             world.oracle()
-                    .toldNotRun(
-                            submission, unansweredSubmissions == 0, world.time().nowMilliseconds());
+                    .toldNotRun(submission, isOnlySubmission(), world.time().nowMilliseconds());
         }
         if (!ErrorAnswer.of(refused.kind()).retryable() && submits) {
             finish(refused.outcome());
         } else if (!submits && !ErrorAnswer.of(refused.kind()).retryable()) {
             // The job is not known any more, for example after an outage in which it was kept in memory alone.
+            forgottenSubmissions++;
             job = Optional.empty();
             outcome = Outcome.PENDING;
         }
@@ -198,8 +212,7 @@
         outcome = result;
         if (result == Outcome.NOT_RUN) {
             world.oracle()
-                    .toldNotRun(
-                            submission, unansweredSubmissions == 0, world.time().nowMilliseconds());
+                    .toldNotRun(submission, isOnlySubmission(), world.time().nowMilliseconds());
         }
     }
 
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeEntry.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeEntry.java
@@ -46,6 +46,15 @@
         return node;
     }
 
+    String region() {
+        return World.regionOf(address.dataCentre());
+    }
+
+    /** Requests without a reply. */
+    int openRequests() {
+        return openRequests.size();
+    }
+
     EntryAddress address() {
         return address;
     }
@@ -135,7 +144,8 @@
 
     @Override
     public void callStore(long token, StoreCall call) {
-        world.store().call(call, reply -> node.deliver(() -> handle(new EntryEvent.StoreReplied(token, reply))));
+        world.store()
+                .call(region(), call, reply -> node.deliver(() -> handle(new EntryEvent.StoreReplied(token, reply))));
     }
 
     @Override
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeStore.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeStore.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.teaselwood.entry.core.StoreCall;
 import org.teaselwood.entry.core.StoreReply;
@@ -23,6 +25,7 @@
     private final VirtualTime time;
     private final TreeMap<String, KeyValue> values = new TreeMap<>();
     private final List<Runnable> configurationWatchers = new ArrayList<>();
+    private final Set<String> cutOff = new TreeSet<>();
     private Mode mode = Mode.UP;
     private long revision;
     private long calls;
@@ -57,8 +60,21 @@
         configurationWatchers.add(watcher);
     }
 
-    void call(StoreCall call, Consumer<StoreReply> reply) {
+    /** Cuts a region off from the service, or connects it again. */
+    void cutOff(String region, boolean cut) {
+        if (cut) {
+            cutOff.add(region);
+        } else {
+            cutOff.remove(region);
+        }
+    }
+
+    void call(String region, StoreCall call, Consumer<StoreReply> reply) {
         calls++;
+        if (cutOff.contains(region)) {
+            time.schedule(2, () -> reply.accept(new StoreReply.Unavailable("connection refused")));
+            return;
+        }
         Runnable timeout = () -> reply.accept(new StoreReply.Unavailable("timeout"));
         switch (mode) {
             case UP ->
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeWorker.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeWorker.java
@@ -20,6 +20,8 @@
  * virtual time.
  */
 final class FakeWorker {
+    private static final long CHECKPOINT_MILLISECONDS = 2_500;
+
     private final VirtualTime time;
     private final String server;
     private final Oracle oracle;
@@ -48,6 +50,26 @@
         dead = true;
     }
 
+    /** Whether a task runs. */
+    boolean isRunning() {
+        return tasks.values().stream().anyMatch(Task::isRunning);
+    }
+
+    /** Accelerators that tasks of a team hold. */
+    int acceleratorsOf(String team) {
+        return tasks.values().stream()
+                .filter(task -> task.isRunning() && task.specification.team().equals(team))
+                .mapToInt(task -> task.specification.resources().accelerators())
+                .sum();
+    }
+
+    /** Whether a part of a request runs or has run here. */
+    boolean hasStarted(String requestKey) {
+        return tasks.values().stream()
+                .anyMatch(task -> task.specification != null
+                        && task.specification.requestKey().equals(requestKey));
+    }
+
     void setFailsEverything(boolean value) {
         failsEverything = value;
     }
@@ -70,7 +92,7 @@
             }
             case WorkerCall.Throttle ignored -> reply.accept(new WorkerReply.Done());
             case WorkerCall.Stop stop -> {
-                stop(stop.task());
+                stop(stop.task(), stop.graceMilliseconds());
                 reply.accept(new WorkerReply.Done());
             }
             case WorkerCall.FetchAnswer fetch -> reply.accept(answer(fetch.task()));
@@ -140,12 +162,29 @@
         onRunning(identifier, task -> task.renew(leaseMilliseconds));
     }
 
-    private void stop(TaskIdentifier identifier) {
+    /** A task that can be checkpointed uses the grace, but not more than a checkpoint takes. */
+    private void stop(TaskIdentifier identifier, long graceMilliseconds) {
         Task task = tasks.computeIfAbsent(identifier, Task::new);
-        if (task.isRunning()) {
+        if (!task.isRunning()) {
+            changed();
+        } else if (task.specification.checkpointable() && graceMilliseconds > 0) {
+            time.schedule(Math.min(graceMilliseconds, CHECKPOINT_MILLISECONDS), () -> stopWithCheckpoint(task));
+        } else {
+            if (task.checkpoint > 0) {
+                oracle.taskCheckpointed(task.identifier, task.specification, task.checkpoint);
+            }
             task.end(State.STOPPED, "");
+            changed();
+        }
+    }
+
+    private void stopWithCheckpoint(Task task) {
+        if (!dead && task.isRunning()) {
+            task.checkpoint();
+            oracle.taskCheckpointed(task.identifier, task.specification, task.checkpoint);
+            task.end(State.STOPPED, "");
+            changed();
         }
-        changed();
     }
 
     private WorkerReply answer(TaskIdentifier identifier) {
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Operator.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Operator.java
@@ -99,7 +99,7 @@
             replied[0] = true;
             switch (reply) {
                 case FrontReply.ConfigurationReply done -> {
-                    checkLater(done.configuration().revision());
+                    checkLater(done.configuration().revision(), entry.region());
                     accepted.accept(done.configuration().revision());
                 }
                 case FrontReply.Refused refused -> refused(change, refused, tries, accepted);
@@ -125,17 +125,20 @@
         }
     }
 
-    private void checkLater(long revision) {
+    private void checkLater(long revision, String region) {
         long acceptedAtTime = world.time().nowMilliseconds();
-        world.time().schedule(Oracle.CONFIGURATION_MILLISECONDS, () -> checkInForce(revision, acceptedAtTime));
+        world.time().schedule(Oracle.CONFIGURATION_MILLISECONDS, () -> checkInForce(revision, region, acceptedAtTime));
     }
 
     /** Compares what every ready entry shows when nothing was disturbed since the change was accepted. */
-    private void checkInForce(long revision, long acceptedAtTime) {
-        if (world.disturbedSince(world.time().nowMilliseconds() - acceptedAtTime)) {
+    private void checkInForce(long revision, String region, long acceptedAtTime) {
+        if (world.processesDisturbedSince(world.time().nowMilliseconds() - acceptedAtTime)) {
             return;
         }
-        world.readyEntries()
+        // An outage of the key-value service excuses only the region that cannot hear of the change otherwise.
+        boolean storeDisturbed = world.disturbedSince(world.time().nowMilliseconds() - acceptedAtTime);
+        world.readyEntries().stream()
+                .filter(entry -> !storeDisturbed || entry.region().equals(region))
                 .forEach(entry -> entry.ask(new FrontRequest.QueryConfiguration(Principal.OPERATOR), reply -> {
                     if (reply instanceof FrontReply.ConfigurationReply shown
                             && shown.configuration().revision() < revision) {
@@ -149,6 +152,18 @@
                 }));
     }
 
+    /** The agent itself must know, so that no message that is still under way brings new work. */
+    private void checkAgentRefuses(String server) {
+        world.agents().stream()
+                .filter(agent -> agent.server().name().equals(server))
+                .filter(agent -> !agent.node().isDead() && !agent.refusesNewWork())
+                .forEach(agent -> world.oracle()
+                        .report(
+                                "P8",
+                                world.time().nowMilliseconds(),
+                                "the agent of " + server + " does not know that it is closed"));
+    }
+
     private void stateAccepted(String server, ServiceState state, long revision) {
         if (newestChange.getOrDefault(server, 0L) > revision) {
             return;
@@ -172,6 +187,7 @@
             if (world.disturbedSince(Oracle.CONFIGURATION_MILLISECONDS)) {
                 closeWhenUndisturbed(server, acceptedAtTime);
             } else {
+                checkAgentRefuses(server);
                 world.oracle().serverClosed(server, world.time().nowMilliseconds());
             }
         });
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Oracle.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Oracle.java
@@ -40,6 +40,9 @@
     private static final class KeyHistory {
         private final Submission submission;
         private final Map<Integer, Integer> startsByPart = new TreeMap<>();
+        /** Checkpoints with which an attempt was stopped and from which nothing was resumed yet, by part. */
+        private final Map<Integer, String> resumable = new TreeMap<>();
+
         private int openSubmissions;
         private boolean toldNotRun;
         private boolean started;
@@ -114,7 +117,9 @@
             report("P4", now, identity + " starts as " + task + " after its caller was told not-run");
         }
         int starts = history.startsByPart.merge(task.part(), 1, Integer::sum);
-        if (!history.submission.repeatable() && starts > 1) {
+        boolean resumed = !specification.resumeFrom().isEmpty()
+                && specification.resumeFrom().equals(history.resumable.remove(task.part()));
+        if (!history.submission.repeatable() && starts > 1 && !resumed) {
             report("P5", now, identity + " is not repeatable and starts again as " + task);
         }
         checkLeaving(server, task, now);
@@ -122,6 +127,14 @@
         setState(gang, task, State.RUNNING, now);
     }
 
+    /** A task was stopped with a checkpoint, from which the work may go on once. */
+    void taskCheckpointed(TaskIdentifier task, TaskSpecification specification, int checkpoint) {
+        KeyHistory history = keys.get(Submission.identityOf(specification.team(), specification.requestKey()));
+        if (history != null) {
+            history.resumable.put(task.part(), task.attempt() + "/" + checkpoint);
+        }
+    }
+
     /** A task ends. */
     void taskEnded(String server, TaskIdentifier task, State state, long now) {
         Gang gang = gangs.get(task.attempt());
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
@@ -23,6 +23,8 @@
     private final World world;
     private final Operator operator;
     private int submissions;
+    /** Planned stops of entries and agents that have not ended. */
+    private int openStops;
 
     Run(long seed, Supplier<Scheduler> schedulers, boolean tracing) {
         world = new World(seed, schedulers);
@@ -38,6 +40,9 @@
         world.advance(SETTLE_MILLISECONDS);
         actions.forEach(this::step);
         heal();
+        if (world.oracle().violations().isEmpty()) {
+            new Epilogue(world, this).execute();
+        }
         world.oracle().check(world.time().nowMilliseconds());
         return world.oracle().violations();
     }
@@ -72,14 +77,22 @@
                     submit(action);
                 }
             }
+            case SUBMIT_IN_BOTH_REGIONS -> submitInBothRegions(action);
             case CANCEL -> withCaller(action, FakeCaller::cancel);
             case CANCEL_ALL -> world.callers().forEach(FakeCaller::cancel);
             case REPEAT_SUBMISSION -> withCaller(action, FakeCaller::repeat);
             case KILL_ENTRY, STOP_ENTRY, PAUSE_ENTRY -> onEntry(action, seconds);
             case KILL_AGENT, STOP_AGENT, PAUSE_AGENT, KILL_VM, WORKER_FAILS_EVERYTHING -> onAgent(action, seconds);
+            case KILL_RACK -> killRack(World.DATA_CENTRES.get(action.target() % 3));
             case KILL_DATA_CENTRE -> killDataCentre(World.DATA_CENTRES.get(action.target() % 3));
-            case CUT_ONE_WAY, CUT_BOTH_WAYS, SLOW_NETWORK, DUPLICATE_MESSAGES -> disturbNetwork(action, seconds);
+            case CUT_ONE_WAY, CUT_BOTH_WAYS, ISOLATE_DATA_CENTRE, SLOW_NETWORK, DUPLICATE_MESSAGES ->
+                disturbNetwork(action, seconds);
             case STORE_DOWN -> storeFault(FakeStore.Mode.DOWN, 2 * seconds);
+            case STORE_DOWN_FOR_ONE_REGION -> {
+                String region = action.target() % 2 == 0 ? World.REGION : World.SECOND_REGION;
+                world.store().cutOff(region, true);
+                world.storeFault(seconds * 1_000, () -> world.store().cutOff(region, false));
+            }
             case STORE_SLOW -> storeFault(FakeStore.Mode.SLOW, seconds);
             case STORE_LOSES_REPLIES -> storeFault(FakeStore.Mode.LOSES_REPLIES, seconds / 4 + 1);
             case DRAIN -> operator.publishState(server(action), ServiceState.DRAINING);
@@ -96,13 +109,30 @@
         Template template = Workload.TEMPLATES.get((action.target() + submissions) % Workload.TEMPLATES.size());
         boolean guaranteed = action.amount() % 3 != 0;
         boolean repeatable = action.amount() % 5 < 3;
-        world.submit(new Submission(
+        Submission submission = new Submission(
                 guaranteed ? Workload.GUARANTEED_TEAM : Workload.BORROWING_TEAM,
                 "key-" + submissions,
                 template,
                 Workload.parameters(100 + action.amount() * 20L, action.amount() % 17 == 0),
                 repeatable || !guaranteed && !template.checkpointable(),
-                action.amount() % 7 == 0));
+                action.amount() % 7 == 0,
+                false);
+        world.submit(submission, action.amount() % 11 == 0 ? World.SECOND_REGION : World.REGION);
+    }
+
+    /** Two callers use one key for a request that is not repeatable. */
+    private void submitInBothRegions(Action action) {
+        submissions++;
+        Submission submission = new Submission(
+                Workload.GUARANTEED_TEAM,
+                "key-" + submissions,
+                Workload.TEMPLATES.get(action.target() % Workload.TEMPLATES.size()),
+                Workload.parameters(100 + action.amount() * 10L, false),
+                false,
+                false,
+                true);
+        world.submit(submission, World.REGION);
+        world.time().schedule(action.amount() % 5, () -> world.submit(submission, World.SECOND_REGION));
     }
 
     private void withCaller(Action action, Consumer<FakeCaller> step) {
@@ -139,22 +169,37 @@
     }
 
     /** A planned replacement: the new entry starts first, then the old one leaves. */
-    private void stopEntry(FakeEntry entry) {
+    void stopEntry(FakeEntry entry) {
         world.startEntry(entry.node().dataCentre());
+        openStops++;
         world.time().schedule(2 * REPLACEMENT_MILLISECONDS, () -> {
             if (!entry.node().isDead() && !entry.isLeaving()) {
                 entry.shutDown();
                 exitWhenDrained(entry);
+            } else {
+                openStops--;
             }
         });
     }
 
     private void exitWhenDrained(FakeEntry entry) {
         if (entry.isDrained()) {
+            if (entry.openRequests() > 0
+                    && !entry.node().isPaused()
+                    && !entry.node().isDead()) {
+                world.oracle()
+                        .report(
+                                "P7",
+                                world.time().nowMilliseconds(),
+                                entry.address().entry() + " exits with " + entry.openRequests() + " open requests");
+            }
             entry.node().kill();
             world.network().disconnect(entry.node(), true);
             world.removeEntry(entry);
-        } else if (!entry.node().isDead()) {
+            openStops--;
+        } else if (entry.node().isDead()) {
+            openStops--;
+        } else {
             world.time().schedule(500, () -> exitWhenDrained(entry));
         }
     }
@@ -197,7 +242,8 @@
     }
 
     /** A planned replacement of a backend server: its VM goes when the agent has drained. */
-    private void stopAgent(FakeAgent agent) {
+    void stopAgent(FakeAgent agent) {
+        openStops++;
         agent.shutDown();
         agent.node()
                 .deliver(() -> world.oracle()
@@ -209,19 +255,34 @@
 
     private void replaceWhenDrained(FakeAgent agent) {
         if (agent.isDrained()) {
+            if (agent.worker().isRunning()) {
+                world.oracle()
+                        .report(
+                                "P7",
+                                world.time().nowMilliseconds(),
+                                agent.server().name() + " exits while a task runs on it");
+            }
             agent.node().kill();
             world.network().disconnect(agent.node(), true);
             agent.worker().kill();
             world.startAgent(agent.server().name(), agent.node().dataCentre(), null);
-        } else if (!agent.node().isDead()) {
+            openStops--;
+        } else if (agent.node().isDead()) {
+            openStops--;
+        } else {
             world.time().schedule(500, () -> replaceWhenDrained(agent));
         }
     }
 
     private void killDataCentre(String dataCentre) {
+        killRack(dataCentre);
         world.entries().stream()
                 .filter(entry -> entry.node().dataCentre().equals(dataCentre))
                 .forEach(entry -> killEntry(entry, false));
+    }
+
+    /** All backend servers of a data centre share a rack. */
+    private void killRack(String dataCentre) {
         world.agents().stream()
                 .filter(agent -> agent.node().dataCentre().equals(dataCentre))
                 .filter(agent -> !agent.node().isDead())
@@ -233,6 +294,11 @@
         String to = World.DATA_CENTRES.get((action.target() + 1 + action.amount() % 2) % 3);
         switch (action.kind()) {
             case CUT_ONE_WAY -> world.network().cut(from, to);
+            case ISOLATE_DATA_CENTRE ->
+                World.DATA_CENTRES.stream().filter(other -> !other.equals(from)).forEach(other -> {
+                    world.network().cut(from, other);
+                    world.network().cut(other, from);
+                });
             case CUT_BOTH_WAYS -> {
                 world.network().cut(from, to);
                 world.network().cut(to, from);
@@ -246,7 +312,7 @@
     private void storeFault(FakeStore.Mode mode, long seconds) {
         if (world.store().mode() == FakeStore.Mode.UP) {
             world.store().setMode(mode);
-            world.fault(seconds * 1_000, () -> world.store().setMode(FakeStore.Mode.UP));
+            world.storeFault(seconds * 1_000, () -> world.store().setMode(FakeStore.Mode.UP));
         }
     }
 
@@ -289,7 +355,8 @@
     }
 
     private boolean isSettled() {
-        return !world.disturbedSince(1)
+        return !world.disturbedSince(SETTLE_MILLISECONDS)
+                && openStops == 0
                 && operator.closedServers().isEmpty()
                 && world.callers().stream().allMatch(FakeCaller::isDone);
     }
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Submission.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Submission.java
@@ -13,6 +13,7 @@
  * @param parameters parameters by name
  * @param repeatable whether the job may run more than once
  * @param urgent whether it belongs to the urgent class
+ * @param inBothRegions whether callers in both regions use the same request key
  */
 record Submission(
         String team,
@@ -20,7 +21,8 @@
         Template template,
         Map<String, String> parameters,
         boolean repeatable,
-        boolean urgent) {
+        boolean urgent,
+        boolean inBothRegions) {
     static String identityOf(String team, String requestKey) {
         return team + "/" + requestKey;
     }
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/World.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/World.java
@@ -22,9 +22,20 @@
     /** The data centres, one entry and two backend servers in each. */
     static final List<String> DATA_CENTRES = List.of("north", "south", "west");
 
-    private static final String REGION = "region";
+    /** The region of those data centres. */
+    static final String REGION = "region";
+
+    /** A small region that shares nothing with the other one but the key-value service. */
+    static final String SECOND_REGION = "second-region";
+
+    private static final String SECOND_REGION_DATA_CENTRE = "east";
+    /** The least that holds the guarantees. */
+    private static final int SERVERS_OF_SECOND_REGION = 3;
+
     private static final long START_MILLISECONDS = 1_000_000;
-    private static final int SERVERS_PER_DATA_CENTRE = 2;
+    /** Backend servers in each data centre of the first region; they share a rack. */
+    static final int SERVERS_PER_DATA_CENTRE = 2;
+
     private static final int INTERNAL_PORT = 7_000;
     private static final long REVISION_QUERY_MILLISECONDS = 500;
 
@@ -41,6 +52,8 @@
     private int startedProcesses;
     private int activeFaults;
     private long lastFaultEnded;
+    private int activeStoreFaults;
+    private long lastStoreFaultEnded;
     private boolean tracing;
 
     World(long seed, Supplier<Scheduler> schedulers) {
@@ -53,6 +66,10 @@
                 startAgent(dataCentre + "-" + index, dataCentre, null);
             }
         });
+        startEntry(SECOND_REGION_DATA_CENTRE);
+        for (int index = 0; index < SERVERS_OF_SECOND_REGION; index++) {
+            startAgent(SECOND_REGION_DATA_CENTRE + "-" + index, SECOND_REGION_DATA_CENTRE, null);
+        }
         store.watchConfiguration(() -> entries.values().forEach(FakeEntry::configurationMayHaveChanged));
         queryRevisions();
     }
@@ -107,9 +124,14 @@
         }
     }
 
-    /** Addresses that the balancer would give: entries that are not known to be gone. */
-    List<EntryAddress> balancer() {
+    static String regionOf(String dataCentre) {
+        return dataCentre.equals(SECOND_REGION_DATA_CENTRE) ? SECOND_REGION : REGION;
+    }
+
+    /** Addresses that the balancer of a region would give: entries that are not known to be gone. */
+    List<EntryAddress> balancer(String region) {
         return entries.values().stream()
+                .filter(entry -> entry.region().equals(region))
                 .filter(entry -> !entry.node().isDead() && !entry.isLeaving())
                 .map(FakeEntry::address)
                 .toList();
@@ -119,9 +141,18 @@
         return entries.values().stream().filter(FakeEntry::isReady).toList();
     }
 
+    List<FakeEntry> readyEntries(String region) {
+        return readyEntries().stream()
+                .filter(entry -> entry.region().equals(region))
+                .toList();
+    }
+
     EntryCore newCore(EntryAddress address, EntryEffects effects) {
+        String region = regionOf(address.dataCentre());
         return new EntryCore(
-                EntryCoreSettings.of(address, REGION, "start-" + startedProcesses, balancer(), 0), schedulers, effects);
+                EntryCoreSettings.of(address, region, "start-" + startedProcesses, balancer(region), 0),
+                schedulers,
+                effects);
     }
 
     /** Starts an entry with a new identifier and address, as a replaced VM has them. */
@@ -139,7 +170,7 @@
         FakeWorker worker = runningWorker == null ? new FakeWorker(time, server, oracle) : runningWorker;
         BackendServer description = new BackendServer(
                 server,
-                REGION,
+                regionOf(dataCentre),
                 dataCentre,
                 dataCentre + "-rack",
                 Set.of(),
@@ -159,7 +190,22 @@
         entries.remove(entry.address().entry());
     }
 
-    /** A fault begins and ends by itself after its duration. */
+    /** A fault of the key-value service, which configurations in force must survive. */
+    void storeFault(long durationMilliseconds, Runnable end) {
+        activeStoreFaults++;
+        time.schedule(durationMilliseconds, () -> {
+            activeStoreFaults--;
+            lastStoreFaultEnded = time.nowMilliseconds();
+            end.run();
+        });
+    }
+
+    /** Whether a process or the network was disturbed at any moment of the last milliseconds. */
+    boolean processesDisturbedSince(long milliseconds) {
+        return activeFaults > 0 || time.nowMilliseconds() - lastFaultEnded < milliseconds;
+    }
+
+    /** A fault of processes or the network begins and ends by itself after its duration. */
     void fault(long durationMilliseconds, Runnable end) {
         activeFaults++;
         time.schedule(durationMilliseconds, () -> {
@@ -171,7 +217,9 @@
 
     /** Whether a fault was there at any moment of the last milliseconds. */
     boolean disturbedSince(long milliseconds) {
-        return activeFaults > 0 || time.nowMilliseconds() - lastFaultEnded < milliseconds;
+        return processesDisturbedSince(milliseconds)
+                || activeStoreFaults > 0
+                || time.nowMilliseconds() - lastStoreFaultEnded < milliseconds;
     }
 
     void advance(long milliseconds) {
@@ -179,10 +227,16 @@
         oracle.check(time.nowMilliseconds());
     }
 
-    void submit(Submission submission) {
-        FakeCaller caller = new FakeCaller(this, submission);
+    FakeCaller submit(Submission submission, String region) {
+        FakeCaller caller = new FakeCaller(this, submission, region);
         callers.add(caller);
         caller.begin();
+        return caller;
+    }
+
+    /** Whether a caller cancelled the submission; callers in both regions may use the same key. */
+    boolean isCancelled(Submission submission) {
+        return callers.stream().anyMatch(caller -> caller.isCancelled() && caller.submission() == submission);
     }
 
     private void queryRevisions() {
