Measure control with real processes over loopback

Cause: the budgets for control were stated but not measured end to end.

Change: "bench control" starts agents and three entries as processes, with the key-value and worker stand-ins in its own process, and prints memory, processor time, bytes, calls to the key-value service and the times of configuration, silence and takeover for a few sizes, then the slopes fitted to them.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/Main.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/Main.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import java.io.PrintStream;
+import org.teaselwood.bench.control.ControlBenchmark;
 import org.teaselwood.bench.policy.PolicyBenchmark;
 
 /** Entry point of {@code bin/bench}: runs the benchmark named by the subcommand. */
@@ -15,9 +16,11 @@
     /** Runs one benchmark and prints its figures as name=value lines. */
     public static void main(String[] arguments) {
         PolicyBenchmark policy = new PolicyBenchmark();
+        ControlBenchmark control = new ControlBenchmark();
         JCommander commander = JCommander.newBuilder()
                 .programName("bench")
                 .addCommand("policy", policy)
+                .addCommand("control", control)
                 .build();
         try {
             commander.parse(arguments);
@@ -30,6 +33,9 @@
             commander.usage();
             System.exit(WRONG_USAGE);
         }
+        if (commander.getParsedCommand().equals("control")) {
+            System.exit(control.run(System.out));
+        }
         policy.run(System.out);
     }
 }
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/control/ControlBenchmark.java
@@ -0,0 +1,118 @@
+package org.teaselwood.bench.control;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.teaselwood.cli.CommandException;
+
+/** The benchmark of the processes themselves: what control costs at a few sizes, and how fast it reacts. */
+@Parameters(commandDescription = "Start real processes over loopback and measure what control costs")
+public final class ControlBenchmark {
+    private static final String PACKAGE = ControlBenchmark.class.getPackageName();
+    private static final int MOST_AGENTS = 200;
+    private static final long AGENT_MEBIBYTES = 64;
+    private static final long OTHER_MEBIBYTES = 2_048;
+    private static final long MOST_MEBIBYTES = 14 * 1_024;
+    private static final long SPARE_MEBIBYTES = 2_048;
+    private static final long PREPARATION_SECONDS = 120;
+    private static final int FAILED = 1;
+    private static final int WRONG_USAGE = 64;
+
+    @Parameter(names = "--agents", description = "Numbers of agents, measured one after the other")
+    private List<Integer> agents = List.of(11);
+
+    @Parameter(names = "--seed", description = "Seed of the choice of teams")
+    private long seed = 1;
+
+    @Parameter(names = "--seconds", description = "Length of each phase in seconds, 5 to 60")
+    private int seconds = 15;
+
+    /** Measures all sizes and prints name=value lines; returns the exit status. */
+    public int run(PrintStream output) {
+        if (seconds < 5 || seconds > 60 || agents.stream().anyMatch(number -> number < 3 || number > MOST_AGENTS)) {
+            System.err.println("bench: --agents takes 3 to " + MOST_AGENTS + ", --seconds 5 to 60");
+            return WRONG_USAGE;
+        }
+        Path home = Path.of(System.getProperty("teaselwood.home", "."));
+        Figures figures = new Figures(output);
+        List<Integer> measured = new ArrayList<>();
+        try {
+            prepare(home);
+            for (int number : agents) {
+                requireMemory(number);
+                measure(home, figures, number);
+                measured.add(number);
+            }
+        } catch (IllegalStateException | UncheckedIOException | CommandException exception) {
+            System.err.println("bench: " + exception + ", at "
+                    + Arrays.stream(exception.getStackTrace())
+                            .filter(frame -> frame.getClassName().startsWith(PACKAGE))
+                            .findFirst()
+                            .map(StackTraceElement::toString)
+                            .orElse("an unknown place"));
+            return FAILED;
+        } finally {
+            output.println("measured-agents=" + measured);
+            figures.printSlopes();
+        }
+        return 0;
+    }
+
+    private void measure(Path home, Figures figures, int number) {
+        figures.begin(number);
+        long begin = System.nanoTime();
+        try (ControlCluster cluster = ControlCluster.start(home, number)) {
+            figures.note("start-seconds", Long.toString(secondsSince(begin)));
+            new SizeMeasurement(cluster, new Workload(number, seed), figures, seconds).run();
+        }
+        figures.note("total-seconds", Long.toString(secondsSince(begin)));
+    }
+
+    /** Builds the programs and the agent's class-data archive once, so that the agents do not all build them. */
+    private static void prepare(Path home) {
+        try (ProcessGroup group = new ProcessGroup()) {
+            for (String program : List.of("teaselwood", "teaselwood-agent")) {
+                Process process = group.start(
+                        List.of(home.resolve("bin").resolve(program).toString(), "--help"), Path.of("/dev/null"));
+                if (!process.waitFor(PREPARATION_SECONDS, TimeUnit.SECONDS) || process.exitValue() != 0) {
+                    throw new IllegalStateException(program + " cannot be built");
+                }
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", exception);
+        }
+    }
+
+    private static void requireMemory(int number) {
+        long needed = number * AGENT_MEBIBYTES + OTHER_MEBIBYTES;
+        long available = availableMebibytes() - SPARE_MEBIBYTES;
+        if (needed > Math.min(available, MOST_MEBIBYTES)) {
+            throw new IllegalStateException(
+                    number + " agents need " + needed + " MiB, and " + available + " MiB are free");
+        }
+    }
+
+    private static long availableMebibytes() {
+        try (var lines = Files.lines(Path.of("/proc/meminfo"))) {
+            return lines.filter(line -> line.startsWith("MemAvailable:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024)
+                    .findFirst()
+                    .orElse(0);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private static long secondsSince(long begin) {
+        return TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - begin);
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/control/ControlCluster.java
@@ -0,0 +1,266 @@
+package org.teaselwood.bench.control;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.teaselwood.cli.EntryClient;
+import org.teaselwood.standins.keyvalue.KeyValueStandIn;
+import org.teaselwood.standins.worker.WorkerStandIn;
+
+/**
+ * One region of three data centres over loopback: three entry processes and one agent process for each backend server.
+ * The key-value stand-in and the worker stand-ins run in this virtual machine. Confined to one thread.
+ */
+final class ControlCluster implements AutoCloseable {
+    private static final long START_SECONDS = 20;
+    private static final long PAUSE_MILLISECONDS = 50;
+    private static final int STARTED_TOGETHER = 10;
+    private static final long START_PAUSE_MILLISECONDS = 400;
+    private static final int SERVERS_PER_RACK = 12;
+
+    /** 1,400 accelerators on 1,100 workers: every fourth has a second one. */
+    private static final int SERVERS_PER_EXTRA_ACCELERATOR = 4;
+
+    static final int ENTRIES = 3;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final KeyValueStandIn store = new KeyValueStandIn(vertx);
+    private final ProcessGroup group = new ProcessGroup();
+    private final Path home;
+    private final Path directory;
+    private final List<Integer> httpPorts;
+    private final List<Integer> internalPorts;
+    private final Map<String, Process> entries = new TreeMap<>();
+    private final List<Process> agents = new ArrayList<>();
+    private int storePort;
+
+    private ControlCluster(Path home) {
+        this.home = home;
+        List<Integer> ports = LoopbackPorts.free(2 * ENTRIES);
+        this.httpPorts = ports.subList(0, ENTRIES);
+        this.internalPorts = ports.subList(ENTRIES, 2 * ENTRIES);
+        try {
+            this.directory = Files.createTempDirectory("teaselwood-bench");
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /** Starts everything and waits until the placer knows all agents; ends what was started if that fails. */
+    static ControlCluster start(Path home, int numberOfAgents) {
+        ControlCluster cluster = new ControlCluster(home);
+        try {
+            cluster.startAll(numberOfAgents);
+            return cluster;
+        } catch (RuntimeException exception) {
+            cluster.close();
+            throw exception;
+        }
+    }
+
+    /** Processes of the entries by identifier. */
+    Map<String, Process> entries() {
+        return entries;
+    }
+
+    /** Processes of the agents; agent number {@code i} has the name {@link #agentName}. */
+    List<Process> agents() {
+        return agents;
+    }
+
+    KeyValueStandIn store() {
+        return store;
+    }
+
+    /** Internal ports of all entries. */
+    List<Integer> internalPorts() {
+        return internalPorts;
+    }
+
+    /** A client of one front. */
+    EntryClient client(String entry) {
+        return new EntryClient(vertx, List.of(url(entry)), Optional.empty());
+    }
+
+    /** Address of the front of an entry. */
+    String url(String entry) {
+        return "http://" + LoopbackPorts.HOST + ":" + httpPorts.get(numberOf(entry));
+    }
+
+    /** Identifiers of all entries. */
+    static List<String> entryNames() {
+        return IntStream.range(0, ENTRIES).mapToObj(number -> "entry-" + number).toList();
+    }
+
+    static String agentName(int number) {
+        return "server-" + number;
+    }
+
+    /** Starts an entry again after its process has ended. */
+    void startEntry(String entry) {
+        int number = numberOf(entry);
+        Path file = write(entry + ".ini", """
+                [entry]
+                identifier = %s
+                region = bench
+                data-centre = centre-%d
+                http-listen = 127.0.0.1:%d
+                internal-listen = 127.0.0.1:%d
+                seeds = %s
+
+                [key-value]
+                endpoints = 127.0.0.1:%d
+                """.formatted(
+                        entry, number, httpPorts.get(number), internalPorts.get(number), addresses(number), storePort));
+        entries.put(entry, start("teaselwood", "entry", file, entry));
+    }
+
+    /**
+     * Waits until every entry is alive and every backend server is in service.
+     *
+     * @throws IllegalStateException if that takes longer
+     */
+    void awaitComplete(long seconds) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        String last = "";
+        while (System.nanoTime() < end) {
+            try (EntryClient client = client(entryNames().getFirst())) {
+                JsonObject region = client.region();
+                int live = region.getJsonArray("entries").size();
+                long inService = RegionState.inService(region);
+                last = live + " entries and " + inService + " agents";
+                if (live == ENTRIES && inService == agents.size()) {
+                    return;
+                }
+            } catch (RuntimeException exception) {
+                last = exception.getMessage();
+            }
+            pause(PAUSE_MILLISECONDS);
+        }
+        throw new IllegalStateException("the cluster is not complete after " + seconds + " s: " + last);
+    }
+
+    /** Sleeps. */
+    static void pause(long milliseconds) {
+        try {
+            Thread.sleep(milliseconds);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", exception);
+        }
+    }
+
+    @Override
+    public void close() {
+        group.close();
+        store.close();
+        vertx.close();
+        if (Boolean.getBoolean("teaselwood.bench.keep-logs")) {
+            System.err.println("bench: the logs are in " + directory);
+            return;
+        }
+        try (Stream<Path> files = Files.walk(directory)) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private void startAll(int numberOfAgents) {
+        storePort = await(store.listen(0)).port();
+        entryNames().forEach(this::startEntry);
+        startAgent(0);
+        awaitComplete(2 * START_SECONDS);
+        for (int number = 1; number < numberOfAgents; number++) {
+            startAgent(number);
+            if (number % STARTED_TOGETHER == 0) {
+                pause(START_PAUSE_MILLISECONDS);
+            }
+        }
+        awaitComplete(2 * START_SECONDS + numberOfAgents / 4);
+    }
+
+    private void startAgent(int number) {
+        int worker = await(WorkerStandIn.start(vertx, 0)).port();
+        int centre = number % ENTRIES;
+        Path file = write(agentName(number) + ".ini", """
+                [agent]
+                name = %s
+                region = bench
+                data-centre = centre-%d
+                rack = rack-%d-%d
+                capabilities = bench
+                accelerators = %d
+                cores = 64
+                memory = 256 GiB
+                slots = 8
+                entries = %s
+                worker = 127.0.0.1:%d
+                """.formatted(
+                        agentName(number),
+                        centre,
+                        centre,
+                        number / (ENTRIES * SERVERS_PER_RACK),
+                        number % SERVERS_PER_EXTRA_ACCELERATOR == 0 ? 2 : 1,
+                        addresses(centre),
+                        worker));
+        agents.add(start("teaselwood-agent", null, file, agentName(number)));
+    }
+
+    private Process start(String program, String subcommand, Path settings, String name) {
+        List<String> command =
+                new ArrayList<>(List.of(home.resolve("bin").resolve(program).toString()));
+        if (subcommand != null) {
+            command.add(subcommand);
+        }
+        command.addAll(List.of("--settings", settings.toString()));
+        return group.start(command, directory.resolve(name + ".log"));
+    }
+
+    /** Internal addresses of all entries, beginning with the given one. */
+    private String addresses(int first) {
+        return IntStream.range(0, ENTRIES)
+                .mapToObj(offset -> LoopbackPorts.HOST + ":" + internalPorts.get((first + offset) % ENTRIES))
+                .collect(Collectors.joining(", "));
+    }
+
+    private Path write(String name, String content) {
+        try {
+            return Files.writeString(directory.resolve(name), content);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private static int numberOf(String entry) {
+        return entryNames().indexOf(entry);
+    }
+
+    private static <T> T await(Future<T> future) {
+        try {
+            return future.toCompletionStage().toCompletableFuture().get(START_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", exception);
+        } catch (ExecutionException | TimeoutException exception) {
+            throw new IllegalStateException("a stand-in cannot start", exception);
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/control/ProcessGroup.java
@@ -0,0 +1,69 @@
+package org.teaselwood.bench.control;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The processes that the benchmark has started. Each is ended by its own identifier when the group is closed, and also
+ * when the virtual machine exits because of a signal or an uncaught error. Thread-safe.
+ */
+final class ProcessGroup implements AutoCloseable {
+    private static final long END_SECONDS = 10;
+
+    private final Queue<Process> started = new ConcurrentLinkedQueue<>();
+    private final Thread hook = new Thread(this::endAll, "end-processes");
+
+    ProcessGroup() {
+        Runtime.getRuntime().addShutdownHook(hook);
+    }
+
+    /** Starts a process that writes its output to a file. */
+    Process start(List<String> command, Path log) {
+        try {
+            Process process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                    .start();
+            started.add(process);
+            return process;
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /** Sends a signal that {@link Process} has no method for. */
+    static void signal(Process process, String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .start()
+                    .waitFor(END_SECONDS, TimeUnit.SECONDS);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        endAll();
+        Runtime.getRuntime().removeShutdownHook(hook);
+    }
+
+    private void endAll() {
+        started.forEach(Process::destroyForcibly);
+        started.forEach(process -> {
+            try {
+                process.waitFor(END_SECONDS, TimeUnit.SECONDS);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        started.clear();
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/control/SizeMeasurement.java
@@ -0,0 +1,173 @@
+package org.teaselwood.bench.control;
+
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.teaselwood.cli.EntryClient;
+import org.teaselwood.model.Configuration;
+
+/** All measurements of one number of agents, in order. Confined to one thread. */
+final class SizeMeasurement {
+    /** New processes load classes and compile for a while, which is not what they cost afterwards. */
+    private static final int WARM_UP_MILLISECONDS = 12_000;
+
+    private static final int SETTLE_MILLISECONDS = 5_000;
+    private static final int CHANGES = 5;
+    private static final long POLL_MILLISECONDS = 20;
+    private static final long LONGEST_MILLISECONDS = 30_000;
+    private static final double JOBS_PER_SECOND = 5;
+    private static final int STOPPED_AGENT = 1;
+
+    private final ControlCluster cluster;
+    private final Workload workload;
+    private final Figures figures;
+    private final int seconds;
+    private final List<EntryClient> clients;
+
+    SizeMeasurement(ControlCluster cluster, Workload workload, Figures figures, int seconds) {
+        this.cluster = cluster;
+        this.workload = workload;
+        this.figures = figures;
+        this.seconds = seconds;
+        this.clients = ControlCluster.entryNames().stream().map(cluster::client).toList();
+    }
+
+    /** Runs all measurements. */
+    void run() {
+        workload.publish(operator(), workload.scaledTeams());
+        figures.note("teams", Integer.toString(workload.scaledTeams()));
+        Snapshot.take(cluster);
+        ControlCluster.pause(WARM_UP_MILLISECONDS);
+        measureTeams(phase("rest"));
+        Phase loaded = measureRunningTasks();
+        measureJobs(loaded);
+        measureSilence();
+        new Takeover(cluster, workload).measure(figures, "sigterm", true);
+        new Takeover(cluster, workload).measure(figures, "sigkill", false);
+        clients.forEach(EntryClient::close);
+    }
+
+    /** Publishes the teams of the whole fleet, and changes them a few times. */
+    private void measureTeams(Phase rest) {
+        workload.publish(operator(), Workload.FLEET_TEAMS);
+        double slowest = 0;
+        double total = 0;
+        for (int change = 0; change < CHANGES; change++) {
+            long begin = System.nanoTime();
+            Configuration accepted = workload.changeWeight(operator(), change + 2);
+            figures.note("configuration.accepted-ms", Long.toString(millisecondsSince(begin)));
+            long milliseconds = awaitEverywhere(accepted.revision(), begin);
+            slowest = Math.max(slowest, milliseconds);
+            total += milliseconds;
+        }
+        figures.add("configuration.in-force-ms", total / CHANGES);
+        figures.add("configuration.in-force-ms.highest", slowest);
+        ControlCluster.pause(SETTLE_MILLISECONDS);
+        Phase teams = phase("130-teams");
+        int added = Workload.FLEET_TEAMS - workload.scaledTeams();
+        figures.addCaused(
+                "placer.resident-kib.per-team", added, 1024 * (teams.placerResident() - rest.placerResident()));
+        figures.addCaused("placer.core-percent.per-team", added, share(teams) - share(rest));
+        workload.publish(operator(), workload.scaledTeams());
+    }
+
+    /** Time from the sending of a change until every front tells its revision. */
+    private long awaitEverywhere(long revision, long begin) {
+        clients.forEach(client -> {
+            while (client.configuration().revision() < revision && millisecondsSince(begin) < LONGEST_MILLISECONDS) {
+                ControlCluster.pause(POLL_MILLISECONDS);
+            }
+        });
+        return millisecondsSince(begin);
+    }
+
+    /** The state of the two-year size; its job rate is too low to be seen within seconds, so no job is added. */
+    private Phase measureRunningTasks() {
+        int jobs = workload.submitRunning(operator());
+        long begin = System.nanoTime();
+        int parts = 0;
+        while (parts < workload.scaledTasks() && millisecondsSince(begin) < LONGEST_MILLISECONDS) {
+            ControlCluster.pause(10 * POLL_MILLISECONDS);
+            parts = RegionState.parts(operator().region());
+        }
+        figures.note("running.jobs", Integer.toString(jobs));
+        figures.note("running.tasks", parts + " of " + workload.scaledTasks());
+        ControlCluster.pause(SETTLE_MILLISECONDS);
+        return phase("loaded");
+    }
+
+    private void measureJobs(Phase loaded) {
+        int jobs = (int) (seconds * JOBS_PER_SECOND);
+        Snapshot begin = Snapshot.take(cluster);
+        Workload.ShortJobs ended = workload.runShortJobs(clients, jobs, JOBS_PER_SECOND);
+        Phase phase = new Phase(begin, Snapshot.take(cluster), placer());
+        phase.addTo(figures, "jobs");
+        figures.note("jobs.succeeded", ended.succeeded() + " of " + ended.submitted());
+        double ratio = phase.seconds() / loaded.seconds();
+        figures.addCaused(
+                "placer.processor-ms.per-job", jobs, phase.placerMilliseconds() - ratio * loaded.placerMilliseconds());
+        figures.addCaused(
+                "relay.processor-ms.per-job", jobs, phase.relayMilliseconds() - ratio * loaded.relayMilliseconds());
+        figures.addCaused(
+                "agents.processor-ms.per-job", jobs, phase.agentMilliseconds() - ratio * loaded.agentMilliseconds());
+        figures.addCaused("agents.bytes.per-job", jobs, phase.agentBytes() - ratio * loaded.agentBytes());
+        figures.addCaused("placer.bytes.per-job", jobs, phase.placerBytes() - ratio * loaded.placerBytes());
+        figures.addCaused("key-value.reads.per-job", jobs, phase.reads() - ratio * loaded.reads());
+        figures.addCaused("key-value.writes.per-job", jobs, phase.writes() - ratio * loaded.writes());
+    }
+
+    /** Time until the placer gives a stopped agent no new work; the agent then goes on. */
+    private void measureSilence() {
+        Process agent = cluster.agents().get(STOPPED_AGENT);
+        String name = ControlCluster.agentName(STOPPED_AGENT);
+        ProcessGroup.signal(agent, "STOP");
+        long begin = System.nanoTime();
+        try {
+            while (RegionState.inService(operator().region(), name)
+                    && millisecondsSince(begin) < LONGEST_MILLISECONDS) {
+                ControlCluster.pause(POLL_MILLISECONDS);
+            }
+            figures.add("silent-agent.out-of-use-ms", millisecondsSince(begin));
+        } finally {
+            ProcessGroup.signal(agent, "CONT");
+        }
+        cluster.awaitComplete(LONGEST_MILLISECONDS / 1000);
+    }
+
+    private Phase phase(String name) {
+        Snapshot begin = Snapshot.take(cluster);
+        ControlCluster.pause(1000L * seconds);
+        Phase phase = new Phase(begin, Snapshot.take(cluster), placer());
+        phase.addTo(figures, name);
+        figures.note(name + ".load-average", loadAverage());
+        return phase;
+    }
+
+    private String placer() {
+        JsonObject region = operator().region();
+        return region.getString("placer");
+    }
+
+    private EntryClient operator() {
+        return clients.getFirst();
+    }
+
+    private static double share(Phase phase) {
+        return phase.placerMilliseconds() / phase.seconds() / 10;
+    }
+
+    private static long millisecondsSince(long begin) {
+        return (System.nanoTime() - begin) / 1_000_000;
+    }
+
+    private static String loadAverage() {
+        try {
+            return Files.readString(Path.of("/proc/loadavg")).split(" ")[0];
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/control/Takeover.java
@@ -0,0 +1,143 @@
+package org.teaselwood.bench.control;
+
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.teaselwood.cli.CommandException;
+import org.teaselwood.cli.EntryClient;
+
+/**
+ * Ends the placer and measures, seen from the surviving fronts, when its successor answers, when it has started a job,
+ * and when it knows every agent and every running part again. The probes overlap, because a front holds a request back
+ * while there is no placer.
+ */
+final class Takeover {
+    private static final long PROBE_MILLISECONDS = 100;
+    private static final long LONGEST_MILLISECONDS = 20_000;
+    private static final long WAIT_MILLISECONDS = 2_000;
+    private static final long UNSEEN = Long.MAX_VALUE;
+
+    private final ControlCluster cluster;
+    private final Workload workload;
+    private final AtomicLong successor = new AtomicLong(UNSEEN);
+    private final AtomicLong decision = new AtomicLong(UNSEEN);
+    private final AtomicLong completeView = new AtomicLong(UNSEEN);
+    private String placer;
+    private int parts;
+    private long begin;
+
+    Takeover(ControlCluster cluster, Workload workload) {
+        this.cluster = cluster;
+        this.workload = workload;
+    }
+
+    /**
+     * Ends the placer, measures, and starts the entry again.
+     *
+     * @param gracefully by SIGTERM instead of SIGKILL
+     */
+    void measure(Figures figures, String name, boolean gracefully) {
+        placer = region(survivorsOf("").getFirst()).getString("placer");
+        parts = RegionState.parts(region(placer));
+        Process process = cluster.entries().get(placer);
+        List<String> survivors = survivorsOf(placer);
+        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            begin = System.nanoTime();
+            if (gracefully) {
+                process.destroy();
+            } else {
+                process.destroyForcibly();
+            }
+            for (int probe = 0; !ended(); probe++) {
+                String survivor = survivors.get(probe % survivors.size());
+                executor.submit(() -> probeRegion(survivor));
+                executor.submit(() -> probeJob(survivor));
+                ControlCluster.pause(PROBE_MILLISECONDS);
+            }
+        }
+        add(figures, name + ".successor-answers-ms", successor);
+        add(figures, name + ".next-decision-ms", decision);
+        add(figures, name + ".complete-view-ms", completeView);
+        restart(figures, name, process);
+    }
+
+    private void restart(Figures figures, String name, Process process) {
+        try {
+            boolean ended = process.waitFor(LONGEST_MILLISECONDS, TimeUnit.MILLISECONDS);
+            figures.note(name + ".process-ended", Boolean.toString(ended));
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+        process.destroyForcibly();
+        cluster.startEntry(placer);
+        cluster.awaitComplete(LONGEST_MILLISECONDS / 1000);
+    }
+
+    private static void add(Figures figures, String name, AtomicLong milliseconds) {
+        if (milliseconds.get() == UNSEEN) {
+            figures.note(name, "not within " + LONGEST_MILLISECONDS);
+        } else {
+            figures.add(name, milliseconds.get());
+        }
+    }
+
+    private boolean ended() {
+        return elapsed() > LONGEST_MILLISECONDS
+                || successor.get() != UNSEEN && decision.get() != UNSEEN && completeView.get() != UNSEEN;
+    }
+
+    private void probeRegion(String survivor) {
+        try {
+            JsonObject region = region(survivor);
+            long now = elapsed();
+            if (placer.equals(region.getString("placer"))) {
+                return;
+            }
+            successor.accumulateAndGet(now, Math::min);
+            if (RegionState.inService(region) == cluster.agents().size() && RegionState.parts(region) >= parts) {
+                completeView.accumulateAndGet(now, Math::min);
+            }
+        } catch (CommandException exception) {
+            // A front without a placer refuses after a while; the next probe tries again.
+        }
+    }
+
+    /** A job that starts after the successor has answered was started by the successor. */
+    private void probeJob(String survivor) {
+        try (EntryClient client = cluster.client(survivor)) {
+            JsonObject state = client.submit(workload.shortSubmission());
+            while (!started(state) && elapsed() < LONGEST_MILLISECONDS) {
+                state = client.waitForChange(state.getString("job"), state.getLong("version"), WAIT_MILLISECONDS);
+            }
+            long now = elapsed();
+            if (started(state) && now >= successor.get()) {
+                decision.accumulateAndGet(now, Math::min);
+            }
+        } catch (CommandException exception) {
+            // As above.
+        }
+    }
+
+    private static boolean started(JsonObject state) {
+        return state.getBoolean("final") || "running".equals(state.getString("state"));
+    }
+
+    private JsonObject region(String entry) {
+        try (EntryClient client = cluster.client(entry)) {
+            return client.region();
+        }
+    }
+
+    private static List<String> survivorsOf(String entry) {
+        return ControlCluster.entryNames().stream()
+                .filter(name -> !name.equals(entry))
+                .toList();
+    }
+
+    private long elapsed() {
+        return (System.nanoTime() - begin) / 1_000_000;
+    }
+}
--- /dev/null
+++ b/teaselwood-bench/src/test/java/org/teaselwood/bench/control/ControlParsingTest.java
@@ -0,0 +1,42 @@
+package org.teaselwood.bench.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.bench.control.LeastSquares.Point;
+
+/** Guards the arithmetic behind the published figures. */
+class ControlParsingTest {
+    @Test
+    void a_line_is_fitted_by_least_squares() {
+        // Fails if slope and intercept are mixed up, or if the fit passes through the end points only.
+        LeastSquares line =
+                LeastSquares.fit(List.of(new Point(0, 1), new Point(1, 3), new Point(2, 5), new Point(3, 7)));
+        assertThat(line.slope()).isWithin(1e-9).of(2);
+        assertThat(line.intercept()).isWithin(1e-9).of(1);
+        assertThat(LeastSquares.fit(List.of(new Point(11, 4))).intercept()).isEqualTo(4);
+        assertThat(LeastSquares.fitThroughOrigin(List.of(new Point(1, 2), new Point(2, 4)))
+                        .slope())
+                .isWithin(1e-9)
+                .of(2);
+    }
+
+    @Test
+    void processor_time_is_read_behind_a_command_name_with_spaces() {
+        // Fails if the fields are counted from the start of the line, which a command name with spaces shifts.
+        String stat = "7 (a (b) c) S 1 7 7 0 -1 4194560 1 0 0 0 150 50 0 0 20 0 9 0 1";
+        ProcessSample sample = ProcessSample.parse("VmRSS:\t  2048 kB\nRssAnon:\t 1024 kB\n", stat);
+        assertThat(sample).isEqualTo(new ProcessSample(2048, 1024, 2000));
+    }
+
+    @Test
+    void bytes_of_all_sockets_of_a_process_are_added() {
+        // Fails if acknowledged bytes are counted a second time beside sent ones.
+        String line = "0 0 127.0.0.1:4 127.0.0.1:5 users:((\"java\",pid=%d,fd=9)) cubic bytes_sent:%d bytes_acked:99 "
+                + "bytes_received:%d\n";
+        assertThat(SocketBytes.parse(line.formatted(7, 10, 5) + line.formatted(7, 1, 2) + line.formatted(8, 3, 4)))
+                .isEqualTo(Map.of(7L, 18L, 8L, 7L));
+    }
+}
