Let a retry inside the guarantee use a server where it failed

Change: such a retry avoids those servers only as long as the guarantee has another place. A claim of the own team is given up last. Held accelerators of an attempt are summed once.

--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/ClaimStarts.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/ClaimStarts.java
@@ -38,7 +38,7 @@
             ServerState server = state.cluster.find(entry.getKey());
             Holding holding = entry.getValue();
             return server != null
-                    && state.mayStart(job, server)
+                    && state.mayRun(job, server)
                     && (server.freeAccelerators() & holding.accelerators) == holding.accelerators
                     && server.announced().cores() - server.held.cores >= holding.cores
                     && server.announced().memoryMebibytes() - server.held.memoryMebibytes >= holding.memoryMebibytes
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Displacement.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Displacement.java
@@ -1,7 +1,9 @@
 package org.teaselwood.policy;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Moves borrowed work out of the way of waiting work when it pays. Confined to its scheduler's thread.
@@ -14,7 +16,7 @@
  */
 final class Displacement {
     /** Classes looked at in one tick. */
-    private static final int MOST_CLASSES = 6;
+    private static final int MOST_CLASSES = 4;
 
     /** A job may displace work whose expected remaining time is at least this many times its own. */
     private static final double SHORTER_FACTOR = 2;
@@ -28,6 +30,8 @@
     private static final int MOST_TOGETHER = 8;
 
     private final PolicyState state;
+    /** Expected remaining run times, for the search in hand. */
+    private final Map<TrackedAttempt, Long> remaining = new HashMap<>();
 
     Displacement(PolicyState state) {
         this.state = state;
@@ -35,6 +39,7 @@
 
     /** Looks at the highest ranked classes that do not fit. */
     void run() {
+        remaining.clear();
         List<WaitingClass> classes = state.queue.classes().stream()
                 .filter(home -> home.mayBorrow() && (home.demand.blocked || home.demand.blockedOutsideReservations))
                 .sorted(Comparator.<WaitingClass>comparingDouble(home -> -state.queue.rank(home, state.now))
@@ -82,13 +87,17 @@
         if (!victim.job.request.template().checkpointable()) {
             return false;
         }
-        long remaining = state.runTimes.remaining(
+        return remaining.computeIfAbsent(victim, this::expectedRemaining)
+                        >= SHORTER_FACTOR * job.waitingClass.typicalRunMilliseconds
+                || job.accelerators() >= 4 * Math.max(1, victim.job.accelerators());
+    }
+
+    private long expectedRemaining(TrackedAttempt victim) {
+        return state.runTimes.remaining(
                 victim.job.request.team(),
                 victim.job.request.template(),
                 victim.job.savedMilliseconds + state.now - victim.startedMilliseconds,
                 0.5);
-        return remaining >= SHORTER_FACTOR * job.waitingClass.typicalRunMilliseconds
-                || job.accelerators() >= 4 * Math.max(1, victim.job.accelerators());
     }
 
     private VictimSearch.Ground ground(TrackedJob job) {
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteedStarts.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteedStarts.java
@@ -20,7 +20,13 @@
  * as borrowed work until its place is needed.
  */
 final class GuaranteedStarts {
+    /** A claim in hand is given up last: its victims are already stopping. */
+    private static final long CLAIM_COST = Long.MAX_VALUE / 1_000;
+
     private final PolicyState state;
+    /** A retry inside the guarantee avoids servers where it failed, unless the guarantee has no other place. */
+    private boolean avoidsFailedServers = true;
+
     private final BorrowedStarts borrowedStarts;
 
     GuaranteedStarts(PolicyState state, BorrowedStarts borrowedStarts) {
@@ -61,6 +67,20 @@
                 || job.request.deadlineMilliseconds() < state.now) {
             return false;
         }
+        boolean started = startInside(job);
+        if (!started && !job.failedServers.isEmpty()) {
+            avoidsFailedServers = false;
+            started = startInside(job);
+            avoidsFailedServers = true;
+        }
+        return started;
+    }
+
+    private boolean mayStart(TrackedJob job, ServerState server) {
+        return avoidsFailedServers ? state.mayStart(job, server) : state.mayRun(job, server);
+    }
+
+    private boolean startInside(TrackedJob job) {
         List<GuaranteeUnit> units = candidates(job);
         return startOnFree(job, units)
                 || startOnMoved(job, units)
@@ -108,7 +128,7 @@
 
     private boolean startOnFree(TrackedJob job, List<GuaranteeUnit> units) {
         for (GuaranteeUnit unit : units) {
-            List<PartPlacement> found = find(unit, job, true, server -> state.mayStart(job, server));
+            List<PartPlacement> found = find(unit, job, true, server -> mayStart(job, server));
             if (!found.isEmpty()) {
                 state.place(job, found, unit);
                 return true;
@@ -121,7 +141,7 @@
         Set<Demand> tried = new HashSet<>();
         for (GuaranteeUnit unit : units) {
             boolean fresh = unit.isEmpty() && tried.add(new Demand(unit.shape, unit.capabilities, Set.of()));
-            if (fresh && state.packer.moveToFree(unit, server -> state.mayStart(job, server))) {
+            if (fresh && state.packer.moveToFree(unit, server -> mayStart(job, server))) {
                 return startOnFree(job, List.of(unit));
             }
         }
@@ -178,7 +198,7 @@
             LayeredRoom room = new LayeredRoom(
                     false,
                     LayeredRoom.Promises.ANCHORED,
-                    server -> state.mayStart(job, server) && Cluster.isCapable(server, unit.capabilities));
+                    server -> mayStart(job, server) && Cluster.isCapable(server, unit.capabilities));
             VictimSearch.Found found = VictimSearch.cheapest(
                     state.cluster.cells(unit.shape.adjacency()).values(),
                     unit.shape,
@@ -196,7 +216,7 @@
     }
 
     private VictimSearch.Ground ground(GuaranteeUnit unit, TrackedJob job) {
-        return ground(new UnitRoom(unit, false, server -> state.mayStart(job, server)), job.shape());
+        return ground(new UnitRoom(unit, false, server -> mayStart(job, server)), job.shape());
     }
 
     private static VictimSearch.Ground ground(Room room, Shape shape) {
@@ -230,7 +250,8 @@
                     && unit.area.keySet().stream().allMatch(name -> mayStartOn(job, name));
             if (yields && emptyHolds(unit, job)) {
                 long cost = unit.occupants.stream()
-                        .mapToLong(occupant -> occupant.attempt == null ? 0 : StopCosts.of(occupant.attempt, state.now))
+                        .mapToLong(occupant ->
+                                occupant.attempt == null ? CLAIM_COST : StopCosts.of(occupant.attempt, state.now))
                         .sum();
                 if (cost < bestCost) {
                     best = unit;
@@ -251,7 +272,7 @@
 
     private boolean mayStartOn(TrackedJob job, String name) {
         ServerState server = state.cluster.find(name);
-        return server != null && state.mayStart(job, server);
+        return server != null && mayStart(job, server);
     }
 
     private static boolean mayYield(TrackedJob occupant) {
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/PolicyState.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/PolicyState.java
@@ -204,8 +204,12 @@
 
     /** Whether the job may run on a server now. */
     boolean mayStart(TrackedJob job, ServerState server) {
+        return !job.failedServers.contains(server.name()) && mayRun(job, server);
+    }
+
+    /** Whether a server takes work now and is able to do the job, even when the job failed there. */
+    boolean mayRun(TrackedJob job, ServerState server) {
         return server.isUsable(now)
-                && !job.failedServers.contains(server.name())
                 && Cluster.isCapable(server, job.request.template().capabilities());
     }
 
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/StopCosts.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/StopCosts.java
@@ -38,8 +38,10 @@
         TrackedJob job = attempt.job;
         boolean checkpointable = job.request.template().checkpointable();
         long lost = checkpointable ? 0 : Math.max(0, nowMilliseconds - attempt.startedMilliseconds);
-        long run =
-                Math.max(SHORTEST_RUN_MILLISECONDS, runTimes.quantile(job.request.team(), job.request.template(), 0.5));
+        long typical = job.waitingClass != null
+                ? job.waitingClass.typicalRunMilliseconds
+                : runTimes.quantile(job.request.team(), job.request.template(), 0.5);
+        long run = Math.max(SHORTEST_RUN_MILLISECONDS, typical);
         double cost = SCALE * (double) (lost + RESTART_MILLISECONDS + otherMilliseconds) / run;
         cost *= 1L << Math.min(MOST_DOUBLINGS, job.reclaims);
         cost *= job.request.repeatable() ? 1 : NOT_REPEATABLE_FACTOR;
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/TrackedAttempt.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/TrackedAttempt.java
@@ -1,6 +1,8 @@
 package org.teaselwood.policy;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.teaselwood.model.AttemptIdentifier;
 
 /** An attempt that holds resources. Mutable, confined to its scheduler's thread. */
@@ -8,6 +10,9 @@
     final TrackedJob job;
     final AttemptIdentifier identifier;
     final List<PartPlacement> placements;
+    /** Held accelerators and number of parts, by server. */
+    private final Map<String, long[]> byServer = new HashMap<>();
+
     boolean guaranteed;
     /** Time of the placement, or of the start once it is known. */
     long startedMilliseconds;
@@ -38,6 +43,12 @@
         this.guaranteed = guaranteed;
         this.startedMilliseconds = startedMilliseconds;
         this.safeUntilMilliseconds = startedMilliseconds;
+        int length = job.shape().part().accelerators();
+        for (PartPlacement placement : this.placements) {
+            long[] there = byServer.computeIfAbsent(placement.server(), server -> new long[2]);
+            there[0] |= ServerState.range(placement.firstAccelerator(), length);
+            there[1]++;
+        }
     }
 
     boolean isStopping() {
@@ -46,22 +57,13 @@
 
     /** Accelerators that the attempt holds on a server, as a bit set. */
     long acceleratorsOn(String server) {
-        long bits = 0;
-        int length = job.shape().part().accelerators();
-        for (PartPlacement placement : placements) {
-            if (placement.server().equals(server)) {
-                bits |= ServerState.range(placement.firstAccelerator(), length);
-            }
-        }
-        return bits;
+        long[] there = byServer.get(server);
+        return there == null ? 0 : there[0];
     }
 
     /** Number of parts on a server. */
     int partsOn(String server) {
-        int count = 0;
-        for (PartPlacement placement : placements) {
-            count += placement.server().equals(server) ? 1 : 0;
-        }
-        return count;
+        long[] there = byServer.get(server);
+        return there == null ? 0 : (int) there[1];
     }
 }
