--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/FairQueue.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/FairQueue.java
@@ -78,6 +78,9 @@
         WaitingClass home = job.waitingClass;
         if (home.jobs.isEmpty()) {
             refresh(home);
+            // Units may have changed while no job of the class waited, and only waiting classes are told.
+            home.unitsFull = false;
+            home.impossibleSinceMilliseconds = -1;
             waiting.put(home.number, home);
             waitingOfTeam
                     .computeIfAbsent(home.key.team(), team -> new TreeMap<>())
--- a/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
+++ b/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
@@ -120,6 +120,20 @@
         assertThat(places(fixture.ended("x", 1, AttemptResult.SUCCEEDED))).hasSize(1);
     }
 
+    /** Guards against a full guarantee that is remembered although it was freed while no such job waited. */
+    @Test
+    void a_guarantee_that_was_full_is_tried_again_by_the_next_job() {
+        fixture.withServers(2, 4).withTeams(team("a", 9, guarantee(HALF, 1)), team("b", 9));
+        fixture.submit(fixture.request("first", "a", HALF));
+        fixture.submit(fixture.request("other", "b", HALF));
+        fixture.submit(fixture.request("second", "a", HALF));
+        fixture.send(new PolicyEvent.JobCancelled(new JobIdentifier("second")));
+        fixture.ended("first", 1, AttemptResult.SUCCEEDED);
+        fixture.submit(fixture.request("third", "b", HALF));
+        assertThat(reclaims(fixture.submit(fixture.request("fourth", "a", HALF))))
+                .hasSize(1);
+    }
+
     /** Guards against urgent work that waits for ordinary work of its own team. */
     @Test
     void urgent_work_displaces_ordinary_work_of_its_team() {
