Add the micro-benchmark of one placement and of the packing

Cause: the time of one placement and of the full invariant check at the two-year size was not measured alone.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/PolicyBenchmark.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/PolicyBenchmark.java
@@ -13,6 +13,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
 import org.teaselwood.policy.GuaranteeScheduler;
 import org.teaselwood.policy.Scheduler;
 
@@ -39,8 +42,17 @@
     @Parameter(names = "--scale", description = "measure decisions and heap at 11, 110 and 1,100 workers instead")
     private boolean scale;
 
+    @Parameter(
+            names = "--micro",
+            description = "measure one placement and the packing of all guarantees with JMH instead")
+    private boolean micro;
+
     /** Runs the benchmark and prints name=value lines. */
     public void run(PrintStream output) {
+        if (micro) {
+            runMicrobenchmark();
+            return;
+        }
         if (scale) {
             new ScaleMeasurement(seed).run().forEach((name, value) -> print(output, name, value));
             return;
@@ -54,6 +66,17 @@
         values.forEach((name, list) -> print(output, name, summary(name, list)));
     }
 
+    private static void runMicrobenchmark() {
+        try {
+            new Runner(new OptionsBuilder()
+                            .include(PolicyMicrobenchmark.class.getSimpleName())
+                            .build())
+                    .run();
+        } catch (RunnerException failed) {
+            throw new IllegalStateException(failed);
+        }
+    }
+
     private static void print(PrintStream output, String name, double value) {
         output.println(name + "=" + String.format(Locale.ROOT, "%.4f", value));
     }
