--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Epilogue.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Epilogue.java
@@ -8,8 +8,8 @@
 
 /**
  * What a run ends with, on the healed cluster: the guaranteed shape is reclaimed from a cluster full of borrowed work
- * (P1), then an agent and the placer's entries are stopped as planned while work runs and callers wait (P6, P7). Without
- * a fault the bounds of the promises hold without exception. Confined to the thread of the virtual time.
+ * (P1), then an agent and the placer's entries are stopped as planned while work runs and callers wait (P6, P7).
+ * Without a fault the bounds of the promises hold without exception. Confined to the thread of the virtual time.
  */
 final class Epilogue {
     /** Urgent work inside its guarantee starts within this time. */
