--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeCaller.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeCaller.java
@@ -143,7 +143,9 @@
     }
 
     private void replied(FrontReply reply, boolean submits, int asked) {
-        world.trace(submission.identity(), "gets " + reply);
+        // The content of an answer is an array, whose text differs from run to run.
+        Object shown = reply instanceof FrontReply.AnswerReply answer ? answer.job() : reply;
+        world.trace(submission.identity(), "gets " + shown);
         if (submits) {
             unansweredSubmissions--;
         }
