Bound the parts that AgentHello reports

Cause: 512 parts with long parameters would not fit into one frame of 1 MiB, and the agent would never be heard of.

Change: at most 256 parts are held or remembered.

--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/AgentTimings.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/AgentTimings.java
@@ -62,8 +62,8 @@
     /** A leaving agent waits this long for ForgetAttempt of a part that left no answer. */
     public static final long LEAVING_FORGET_MILLISECONDS = 60_000;
 
-    /** Most parts held or remembered; holds beyond are refused. */
-    public static final int MAXIMUM_PARTS = 512;
+    /** Most parts held or remembered; holds beyond are refused. AgentHello reports them all in one frame of 1 MiB. */
+    public static final int MAXIMUM_PARTS = 256;
 
     /** Fences at which new holds are refused; twice as many is the limit of all fences. */
     public static final int MAXIMUM_FENCES = 2_048;
