--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/relay/AgentRelay.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/relay/AgentRelay.java
@@ -213,7 +213,10 @@
     private void sendSnapshots(String entry) {
         List<FromAgent> batch = new ArrayList<>();
         int bytes = 0;
-        for (Connected agent : open()) {
+        // A silent agent is sent as soon as it is heard again; in a snapshot it would count as heard.
+        List<Connected> heard =
+                open().stream().filter(agent -> !agent.reportedSilent).toList();
+        for (Connected agent : heard) {
             AgentMessage hello = agent.state.hello();
             batch.add(fromAgent(agent, hello));
             bytes += Outbox.sizeOf(hello);
