--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/control/RegionState.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/control/RegionState.java
@@ -17,10 +17,10 @@
         return servers(region).anyMatch(view -> view.getString("name").equals(server) && isInService(view));
     }
 
-    /** Number of parts that hold resources. */
-    static int parts(JsonObject region) {
-        return servers(region)
-                .mapToInt(view -> view.getJsonArray("parts").size())
+    /** Number of running jobs. */
+    static int running(JsonObject region) {
+        return region.getJsonObject("running").stream()
+                .mapToInt(entry -> (Integer) entry.getValue())
                 .sum();
     }
 
