Look at free room before capabilities in a search

Change: a search rejects full servers before it looks at capabilities and failed servers.

Conclusion: kept, because it does less work; to be measured on an idle machine.

--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Room.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Room.java
@@ -26,9 +26,15 @@
 
     /** How many parts fit on a server. */
     default int fit(ServerState server, PartResources part) {
-        if (server.announced() == null || !accepts(server)) {
+        if (server.announced() == null) {
             return 0;
         }
-        return ServerState.fit(part, accelerators(server), cores(server), memoryMebibytes(server), slots(server));
+        // Most servers are full, so the cheap test comes before capabilities and failures.
+        long accelerators = accelerators(server);
+        if (Long.bitCount(accelerators) < part.accelerators()) {
+            return 0;
+        }
+        int fit = ServerState.fit(part, accelerators, cores(server), memoryMebibytes(server), slots(server));
+        return fit > 0 && accepts(server) ? fit : 0;
     }
 }
