Copy finished jobs whose answer is not stored to the standby

Cause: the copy held no answers. After a planned stop of the placer 111 of 111 accepted short requests were unknown at its successor, and a recorded job that had succeeded during an outage of the key-value service could turn unfinished. Change: the placer sends a finished job with its answer (up to 64 KiB) to the standby unless the key-value service has it; the standby keeps up to 8 MiB. Conclusion: TakeoverTest covers a short request, and a job during an outage; larger answers of short requests are still repeated by their callers.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -198,6 +198,7 @@
                 context.observeTerm(change.term());
                 placer.mirror().received(entry, change);
             }
+            case EntryMessage.FinishedJob finished -> placer.mirror().received(finished);
             case EntryMessage.JobTableAcknowledged acknowledged ->
                 placer.mirror().acknowledged(entry, acknowledged);
             case EntryMessage.JobRecord ignored -> {}
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/Job.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/Job.java
@@ -92,8 +92,7 @@
 
     /**
      * The record for a copy that has no answers. Success counts as such only after the answer was written; before, a
-     * new placer fetches the answer from the agents. A short request that finished is not copied: its caller repeats it
-     * when the answer is lost.
+     * new placer fetches the answer from the agents. A short request that finished is copied with its answer alone.
      */
     public Optional<JobRecord> mirrored(Term term, String writer) {
         if (state.isFinal() && !recorded()) {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobMirror.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/jobs/JobMirror.java
@@ -2,15 +2,20 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.teaselwood.entry.core.EntryContext;
 import org.teaselwood.entry.core.Outbox;
+import org.teaselwood.model.Answer;
 import org.teaselwood.model.JobIdentifier;
+import org.teaselwood.model.JobState;
 import org.teaselwood.model.Term;
+import org.teaselwood.protocol.message.EntryMessage.FinishedJob;
 import org.teaselwood.protocol.message.EntryMessage.JobRecord;
 import org.teaselwood.protocol.message.EntryMessage.JobTableAcknowledged;
 import org.teaselwood.protocol.message.EntryMessage.JobTableChange;
@@ -23,12 +28,21 @@
     private static final int MESSAGE_BYTES = 256 * 1024;
     private static final int RECORD_BYTES = 2_048;
     private static final long OUTDATED_MILLISECONDS = 30_000;
+    /** Larger answers are not copied; a short request whose answer is lost is repeated by its caller. */
+    private static final int LARGEST_COPIED_ANSWER_BYTES = 64 * 1024;
+
+    private static final long MAXIMUM_COPIED_ANSWER_BYTES = 8L * 1024 * 1024;
 
     private final EntryContext context;
     private final Outbox outbox;
     /** The copy that a placer sent to this entry. */
     private final Map<JobIdentifier, JobRecord> copy = new TreeMap<>();
 
+    /** Answers of the copy that are not in the key-value service, the oldest first. */
+    private final Map<JobIdentifier, Answer> copiedAnswers = new LinkedHashMap<>();
+
+    private long copiedAnswerBytes;
+
     private Term copyTerm = Term.NONE;
     private long copiedAt;
 
@@ -102,12 +116,12 @@
         if (reset) {
             changed.clear();
             removed.clear();
-            send(table.all(), true);
+            send(table.all(), table, true);
             awaited.replaceAll(action -> new Awaited(action.job(), sequence, action.action()));
         } else if (!changed.isEmpty() || !removed.isEmpty()) {
             List<Job> jobs =
                     changed.stream().flatMap(job -> table.find(job).stream()).toList();
-            send(jobs, false);
+            send(jobs, table, false);
             changed.clear();
             removed.clear();
             awaited.replaceAll(action -> action.sequence() == Long.MAX_VALUE
@@ -136,40 +150,89 @@
         copyTerm = change.term();
         copiedAt = context.now();
         if (change.reset()) {
-            copy.clear();
+            dropCopy();
         }
         change.changed().forEach(record -> copy.put(record.job(), record));
-        change.removed().forEach(copy::remove);
+        change.removed().forEach(this::dropCopyOf);
         outbox.toEntry(placer, new JobTableAcknowledged(change.term(), change.sequence()));
     }
 
+    /** A placer sent a finished job to this entry as its standby. */
+    public void received(FinishedJob finished) {
+        if (finished.term().compareTo(copyTerm) == 0) {
+            take(finished);
+        }
+    }
+
     /** The copy that this entry holds. */
     public Collection<JobRecord> copy() {
         return copy.values();
     }
 
+    /** Answers of the copy that are not in the key-value service. */
+    public Map<JobIdentifier, Answer> copiedAnswers() {
+        return copiedAnswers;
+    }
+
     /** Keeps records as if a placer of the term had sent them, so that they outlive this entry's own term. */
-    public void keep(Term ownTerm, Collection<JobRecord> records) {
+    public void keep(Term ownTerm, Collection<JobRecord> records, JobTable table) {
         copyTerm = ownTerm;
         copiedAt = context.now();
-        copy.clear();
+        dropCopy();
         records.forEach(record -> copy.put(record.job(), record));
+        table.all().forEach(job -> finishedCopy(job, table).ifPresent(this::take));
     }
 
     /** Drops a copy that a placer of a higher term has not renewed, because its standby is another entry. */
     public void tick() {
         boolean outdated = copyTerm.compareTo(context.highestTerm()) < 0;
         if (outdated && !copy.isEmpty() && context.now() - copiedAt >= OUTDATED_MILLISECONDS) {
-            copy.clear();
+            dropCopy();
         }
     }
 
     /** Drops the copy. */
     public void dropCopy() {
         copy.clear();
+        copiedAnswers.clear();
+        copiedAnswerBytes = 0;
+    }
+
+    private void take(FinishedJob finished) {
+        JobRecord record = finished.record();
+        dropCopyOf(record.job());
+        copy.put(record.job(), record);
+        if (record.state() == JobState.SUCCEEDED) {
+            Answer answer = Answer.verified(finished.content(), record.answerLength(), record.answerChecksum());
+            copiedAnswers.put(record.job(), answer);
+            copiedAnswerBytes += answer.length();
+        }
+        while (copiedAnswerBytes > MAXIMUM_COPIED_ANSWER_BYTES) {
+            dropCopyOf(copiedAnswers.keySet().iterator().next());
+        }
+    }
+
+    private void dropCopyOf(JobIdentifier job) {
+        copy.remove(job);
+        Answer answer = copiedAnswers.remove(job);
+        copiedAnswerBytes -= answer == null ? 0 : answer.length();
+    }
+
+    /** What the standby gets of a finished job, unless the key-value service has it. */
+    private Optional<FinishedJob> finishedCopy(Job job, JobTable table) {
+        if (!job.state().isFinal() || job.recorded() && job.written()) {
+            return Optional.empty();
+        }
+        JobRecord record = job.record(term, context.settings().incarnation());
+        if (job.state() != JobState.SUCCEEDED) {
+            return Optional.of(new FinishedJob(term, record, new byte[0]));
+        }
+        return table.answer(job.identifier())
+                .filter(answer -> answer.length() <= LARGEST_COPIED_ANSWER_BYTES)
+                .map(answer -> new FinishedJob(term, record, answer.content()));
     }
 
-    private void send(Collection<Job> jobs, boolean reset) {
+    private void send(Collection<Job> jobs, JobTable table, boolean reset) {
         List<JobRecord> batch = new ArrayList<>();
         int bytes = 0;
         boolean first = reset;
@@ -187,6 +250,7 @@
             }
         }
         deliver(first, batch);
+        mirrored.forEach(job -> finishedCopy(job, table).ifPresent(finished -> outbox.toEntry(standby, finished)));
     }
 
     private void deliver(boolean reset, List<JobRecord> batch) {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Placer.java
@@ -19,8 +19,10 @@
 import org.teaselwood.entry.jobs.JobMirror;
 import org.teaselwood.entry.jobs.TransactionBatcher;
 import org.teaselwood.entry.membership.Membership;
+import org.teaselwood.model.Answer;
 import org.teaselwood.model.Configuration;
 import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobIdentifier;
 import org.teaselwood.model.Term;
 import org.teaselwood.policy.Scheduler;
 import org.teaselwood.protocol.message.AgentMessage;
@@ -350,10 +352,11 @@
         activatedAt = context.now();
         state.begin(term);
         List<JobRecord> copy = List.copyOf(mirror.copy());
+        Map<JobIdentifier, Answer> answers = Map.copyOf(mirror.copiedAnswers());
         mirror.dropCopy();
         mirror.begin(term);
         context.effects().logged("placing under " + term, "", "");
-        work.begin(copy);
+        work.begin(copy, answers);
         List<Queued> requests = List.copyOf(queued);
         queued.clear();
         requests.forEach(request -> carryOut(request.requester(), request.request()));
@@ -361,7 +364,7 @@
 
     private void deactivate() {
         if (role == Role.ACTIVE) {
-            mirror.keep(state.term(), work.records());
+            mirror.keep(state.term(), work.records(), state.table());
             mirror.end();
             work.end();
         }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionWork.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionWork.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -14,7 +15,9 @@
 import org.teaselwood.entry.jobs.TransactionBatcher;
 import org.teaselwood.entry.membership.Membership;
 import org.teaselwood.entry.relay.PartKey;
+import org.teaselwood.model.Answer;
 import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.JobIdentifier;
 import org.teaselwood.model.ServiceState;
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.policy.PolicyEvent;
@@ -69,12 +72,16 @@
     }
 
     /** Starts placing with the standby's copy of the table, the records and the agents known so far. */
-    void begin(List<JobRecord> copy) {
+    void begin(List<JobRecord> copy, Map<JobIdentifier, Answer> answers) {
         store.begin(state.term());
         lifecycle.clear();
         recovery.clear();
         policy.feed(new PolicyEvent.ConfigurationChanged(state.context().configuration()));
         copy.forEach(recovery::mirrored);
+        copy.forEach(record -> Optional.ofNullable(answers.get(record.job()))
+                .ifPresent(answer -> state.table()
+                        .find(record.job())
+                        .ifPresent(job -> state.table().keep(job, answer))));
         takeInRecords();
         state.directory().all().forEach(this::join);
         recovery.settle();
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/TakeoverTest.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/TakeoverTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.teaselwood.entry.relay.PartKey;
 import org.teaselwood.model.ErrorKind;
@@ -110,6 +111,24 @@
         assertThat(starts()).isEqualTo(2);
     }
 
+    /** Guards against answers that only the memory of a dead placer holds: short requests, and any in an outage. */
+    @ParameterizedTest
+    @CsvSource({"short, false", "plan, true"})
+    void an_answer_that_is_not_in_the_key_value_service_outlives_the_placer(String template, boolean storeDown) {
+        JobView job = viewOf(region.ask(other, submit("k1", template, true)));
+        region.run(500);
+        region.store.down = storeDown;
+        succeedAll();
+        region.run(1_000);
+        assertThat(query(other, job).state()).isEqualTo(JobState.SUCCEEDED);
+        region.kill(placer.address.entry(), other.address.entry());
+        region.run(6_000);
+        FrontReply answer = region.ask(other, new FrontRequest.FetchAnswer(TEAM, job.job()));
+        assertThat(new String(((FrontReply.AnswerReply) answer).content(), StandardCharsets.UTF_8))
+                .isEqualTo("part 0;");
+        assertThat(starts()).isEqualTo(1);
+    }
+
     /** Guards against a submission that is lost or refused while the placer is replaced. */
     @Test
     void a_submission_during_a_takeover_is_answered_by_the_new_placer() {
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
@@ -70,7 +70,8 @@
                         EntryMessage.JobTableChange.class,
                         EntryMessage.JobTableAcknowledged.class,
                         EntryMessage.ConfigurationRequest.class,
-                        EntryMessage.ConfigurationDocument.class));
+                        EntryMessage.ConfigurationDocument.class,
+                        EntryMessage.FinishedJob.class));
         register(
                 96,
                 List.of(
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/EntryMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/EntryMessage.java
@@ -132,6 +132,13 @@
     /** The standby has a change and all before it. */
     record JobTableAcknowledged(Term term, long sequence) implements EntryMessage {}
 
+    /**
+     * A finished job whose answer is not in the key-value service, sent by the placer to its standby after the change.
+     *
+     * @param content the whole answer, empty for a job without one; length and CRC-32C stand in the record
+     */
+    record FinishedJob(Term term, JobRecord record, byte[] content) implements EntryMessage {}
+
     /** Asks a peer for its configuration if that is newer than the given revision. */
     record ConfigurationRequest(long revision) implements EntryMessage {}
 
