--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeWorker.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeWorker.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.teaselwood.model.Answer;
 import org.teaselwood.protocol.message.TaskSpecification;
@@ -18,11 +20,15 @@
  * virtual time.
  */
 final class FakeWorker {
+    private static final long CHECKPOINT_MILLISECONDS = 2_500;
+
     private final VirtualTime time;
     private final String server;
     private final Oracle oracle;
     private final Map<TaskIdentifier, Task> tasks = new TreeMap<>();
     private final List<Listing> listings = new ArrayList<>();
+    private final Set<TaskIdentifier> forgotten = new TreeSet<>();
+    private final long workerIncarnation;
     private String incarnation = "";
     private long version;
     private boolean failsEverything;
@@ -34,7 +40,8 @@
         this.time = time;
         this.server = server;
         this.oracle = oracle;
-        this.version = 1 + time.nowMilliseconds() * 1_000;
+        this.workerIncarnation = 1 + time.nowMilliseconds() * 1_000;
+        this.version = workerIncarnation;
     }
 
     /** Ends with its VM: everything that runs stops at once. */
@@ -43,6 +50,26 @@
         dead = true;
     }
 
+    /** Whether a task runs. */
+    boolean isRunning() {
+        return tasks.values().stream().anyMatch(Task::isRunning);
+    }
+
+    /** Accelerators that tasks of a team hold. */
+    int acceleratorsOf(String team) {
+        return tasks.values().stream()
+                .filter(task -> task.isRunning() && task.specification.team().equals(team))
+                .mapToInt(task -> task.specification.resources().accelerators())
+                .sum();
+    }
+
+    /** Whether a part of a request runs or has run here. */
+    boolean hasStarted(String requestKey) {
+        return tasks.values().stream()
+                .anyMatch(task -> task.specification != null
+                        && task.specification.requestKey().equals(requestKey));
+    }
+
     void setFailsEverything(boolean value) {
         failsEverything = value;
     }
@@ -65,7 +92,7 @@
             }
             case WorkerCall.Throttle ignored -> reply.accept(new WorkerReply.Done());
             case WorkerCall.Stop stop -> {
-                stop(stop.task());
+                stop(stop.task(), stop.graceMilliseconds());
                 reply.accept(new WorkerReply.Done());
             }
             case WorkerCall.FetchAnswer fetch -> reply.accept(answer(fetch.task()));
@@ -80,6 +107,7 @@
         incarnation = adopt.incarnation();
         tasks.values().stream().filter(Task::isRunning).forEach(task -> task.renew(adopt.leaseMilliseconds()));
         return new WorkerReply.Adopted(
+                workerIncarnation,
                 version,
                 tasks.values().stream()
                         .filter(task -> task.specification != null)
@@ -104,7 +132,9 @@
 
     private WorkerReply listing() {
         return new WorkerReply.Tasks(
-                version, tasks.values().stream().map(Task::status).toList());
+                workerIncarnation,
+                version,
+                tasks.values().stream().map(Task::status).toList());
     }
 
     private WorkerReply run(WorkerCall.Run run) {
@@ -112,8 +142,14 @@
         if (known != null) {
             return new WorkerReply.Ran(known.status());
         }
+        if (run.workerIncarnation() != workerIncarnation) {
+            return new WorkerReply.Refused(WorkerReply.Reason.OTHER_WORKER, "the worker was restarted");
+        }
         if (!run.incarnation().equals(incarnation)) {
-            return new WorkerReply.Refused("another agent has adopted this worker");
+            return new WorkerReply.Refused(WorkerReply.Reason.OTHER_AGENT, "another agent has adopted this worker");
+        }
+        if (forgotten.contains(run.task())) {
+            return new WorkerReply.Refused(WorkerReply.Reason.INVALID, "the task was forgotten");
         }
         Task task = new Task(run);
         tasks.put(run.task(), task);
@@ -126,18 +162,35 @@
         onRunning(identifier, task -> task.renew(leaseMilliseconds));
     }
 
-    private void stop(TaskIdentifier identifier) {
+    /** A task that can be checkpointed uses the grace, but not more than a checkpoint takes. */
+    private void stop(TaskIdentifier identifier, long graceMilliseconds) {
         Task task = tasks.computeIfAbsent(identifier, Task::new);
-        if (task.isRunning()) {
+        if (!task.isRunning()) {
+            changed();
+        } else if (task.specification.checkpointable() && graceMilliseconds > 0) {
+            time.schedule(Math.min(graceMilliseconds, CHECKPOINT_MILLISECONDS), () -> stopWithCheckpoint(task));
+        } else {
+            if (task.checkpoint > 0) {
+                oracle.taskCheckpointed(task.identifier, task.specification, task.checkpoint);
+            }
             task.end(State.STOPPED, "");
+            changed();
+        }
+    }
+
+    private void stopWithCheckpoint(Task task) {
+        if (!dead && task.isRunning()) {
+            task.checkpoint();
+            oracle.taskCheckpointed(task.identifier, task.specification, task.checkpoint);
+            task.end(State.STOPPED, "");
+            changed();
         }
-        changed();
     }
 
     private WorkerReply answer(TaskIdentifier identifier) {
         Task task = tasks.get(identifier);
         if (task == null || task.state != State.SUCCEEDED) {
-            return new WorkerReply.Refused("the task has no answer");
+            return new WorkerReply.Refused(WorkerReply.Reason.INVALID, "the task has no answer");
         }
         Answer answer = Answer.of(Workload.partAnswer(task.specification, identifier.part()));
         return new WorkerReply.AnswerContent(answer.content(), answer.length(), answer.checksum());
@@ -146,6 +199,7 @@
     private void forget(TaskIdentifier identifier) {
         onRunning(identifier, task -> task.end(State.STOPPED, ""));
         tasks.remove(identifier);
+        forgotten.add(identifier);
         changed();
     }
 
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.teaselwood.entry.membership.Membership;
 import org.teaselwood.entry.placer.Placer;
 import org.teaselwood.entry.relay.AgentRelay;
@@ -27,6 +28,8 @@
     private final Placer placer;
     private final FrontDesk desk;
     private final ConfigurationDesk configuration;
+    /** Connections that are open; what arrives late on another one is ignored. */
+    private final Set<Long> openLinks = new HashSet<>();
     /** Connections of agents. */
     private final Set<Long> agentLinks = new HashSet<>();
 
@@ -35,14 +38,14 @@
     private boolean drained;
 
     /** A core that has heard of nobody yet. */
-    public EntryCore(EntryCoreSettings settings, Scheduler scheduler, EntryEffects effects) {
+    public EntryCore(EntryCoreSettings settings, Supplier<Scheduler> schedulers, EntryEffects effects) {
         context = new EntryContext(settings, effects);
         membership = new Membership(context);
         outbox = new Outbox(context, membership);
         relay = new AgentRelay(context, outbox, membership);
-        placer = new Placer(context, outbox, membership, scheduler, this::replyTo, this::changeConfiguration);
-        configuration = new ConfigurationDesk(
-                context, outbox, membership, this::replyTo, this::apply, scheduler::checkGuarantees);
+        placer = new Placer(context, outbox, membership, schedulers, this::replyTo, this::changeConfiguration);
+        configuration =
+                new ConfigurationDesk(context, outbox, membership, this::replyTo, this::apply, placer::checkGuarantees);
         desk = new FrontDesk(context, outbox, membership, placer);
     }
 
@@ -54,10 +57,15 @@
     public void handle(EntryEvent event, long nowMilliseconds) {
         context.advance(nowMilliseconds);
         switch (event) {
-            case EntryEvent.LinkAccepted ignored -> {}
-            case EntryEvent.LinkConnected connected -> membership.connected(connected.link());
+            case EntryEvent.LinkAccepted accepted -> openLinks.add(accepted.link());
+            case EntryEvent.LinkConnected connected -> {
+                openLinks.add(connected.link());
+                membership.connected(connected.link());
+            }
             case EntryEvent.ConnectFailed ignored -> {}
-            case EntryEvent.MessageReceived received -> received(received.link(), received.message());
+            case EntryEvent.MessageReceived received
+            when openLinks.contains(received.link()) -> received(received.link(), received.message());
+            case EntryEvent.MessageReceived ignored -> {}
             case EntryEvent.LinkClosed closed -> closed(closed.link());
             case EntryEvent.FrontRequested requested -> requested(requested.token(), requested.request());
             case EntryEvent.FrontAbandoned abandoned -> desk.abandoned(abandoned.token());
@@ -157,6 +165,7 @@
     }
 
     private void closed(long link) {
+        openLinks.remove(link);
         if (agentLinks.remove(link)) {
             relay.closed(link);
         } else {
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/VirtualRegion.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/VirtualRegion.java
@@ -72,7 +72,7 @@
             this.address = address;
             core = new EntryCore(
                     EntryCoreSettings.of(address, REGION, incarnation, List.copyOf(seeds), 0),
-                    new FirstFitScheduler(),
+                    FirstFitScheduler::new,
                     this);
         }
 
@@ -259,7 +259,7 @@
 
     void fromAgent(FakeAgent agent, AgentMessage message) {
         links.values().stream()
-                .filter(link -> link.first().equals(agent.server.name()))
+                .filter(link -> !agent.silent && link.first().equals(agent.server.name()))
                 .findFirst()
                 .ifPresent(link -> transmit(link.number(), agent.server.name(), message));
     }
--- a/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
+++ b/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.teaselwood.model.Configuration;
 import org.teaselwood.model.ErrorKind;
@@ -204,6 +205,52 @@
                 .hasSize(1);
     }
 
+    /** Guards against jobs that always fail, have servers quarantined, and are forgiven for it without end. */
+    @Test
+    void a_burst_of_jobs_that_always_fail_ends_although_it_quarantines_servers() {
+        fixture.withServers(6, 4);
+        IntStream.range(0, 6).forEach(index -> fixture.submit(fixture.request("j" + index, "t", HALF)));
+        int handled = 0;
+        for (int round = 0; round < 100 && ends(fixture.decisions).size() < 6; round++) {
+            List<PolicyDecision> made = List.copyOf(fixture.decisions.subList(handled, fixture.decisions.size()));
+            handled = fixture.decisions.size();
+            fixture.tick(20_000);
+            made.stream()
+                    .filter(Probe.class::isInstance)
+                    .forEach(probe -> fixture.send(new PolicyEvent.ProbeEnded(((Probe) probe).server(), true)));
+            places(made).forEach(place -> {
+                fixture.send(new PolicyEvent.AttemptStarted(place.attempt()));
+                String server = place.placements().getFirst().server();
+                fixture.send(new PolicyEvent.AttemptEnded(place.attempt(), AttemptResult.FAILED, List.of(server)));
+            });
+        }
+        assertThat(fixture.decisions.stream()
+                        .filter(Quarantine.class::isInstance)
+                        .toList())
+                .isNotEmpty();
+        assertThat(ends(fixture.decisions)).hasSize(6);
+    }
+
+    /** Guards against a job that failed once, was stopped, and is never tried again although a server is free. */
+    @Test
+    void a_job_that_failed_and_was_stopped_runs_again_when_its_server_returns() {
+        fixture.withServers(2, 4);
+        Shape whole = shape(1, 4, Level.SERVER);
+        fixture.submit(fixture.request("x", "t", whole));
+        String first =
+                places(fixture.decisions).getFirst().placements().getFirst().server();
+        String second = first.equals("s00") ? "s01" : "s00";
+        fixture.started("x", 1);
+        fixture.ended("x", 1, AttemptResult.FAILED, first);
+        fixture.started("x", 2);
+        fixture.send(new PolicyEvent.ServerUnavailable(second));
+        fixture.ended("x", 2, AttemptResult.STOPPED);
+        fixture.tick(1_000);
+        int index = Integer.parseInt(second.substring(1));
+        fixture.send(new PolicyEvent.ServerJoined(server(index, 4, PLAIN)));
+        assertThat(places(fixture.tick(1_000))).hasSize(1);
+    }
+
     /** Guards against retries without end by a team whose work always fails. */
     @Test
     void a_team_without_retry_budget_gets_the_failure_at_once() {
