Split the histograms of a team by class and measure reclaim

Cause: waiting and completion had the class 'all', and reclaim was never observed. Change: urgent, job and request are told apart; the time from the decision to reclaim an attempt to its end is observed.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Attempt.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import org.teaselwood.entry.jobs.Job;
 import org.teaselwood.model.AttemptIdentifier;
@@ -37,6 +38,9 @@
     /** Ends the job whatever its kind, null for none. */
     private ErrorKind finalKind;
 
+    /** Time at which the policy asked to stop it, negative before. */
+    private long reclaimedAt = -1;
+
     /** Steps of an attempt. */
     enum Stage {
         HOLDING,
@@ -63,6 +67,14 @@
         stage = next;
     }
 
+    void reclaimed(long now) {
+        reclaimedAt = reclaimedAt < 0 ? now : reclaimedAt;
+    }
+
+    OptionalLong reclaimedAt() {
+        return reclaimedAt < 0 ? OptionalLong.empty() : OptionalLong.of(reclaimedAt);
+    }
+
     void markedBy(long version) {
         markVersion = version;
         stage = Stage.MARKING;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/JobLifecycle.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/JobLifecycle.java
@@ -1,6 +1,7 @@
 package org.teaselwood.entry.placer;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -192,7 +193,7 @@
         if (state.scheduled().remove(job.identifier()) && finalState != JobState.SUCCEEDED) {
             policy.feed(new PolicyEvent.JobCancelled(job.identifier()));
         }
-        state.context().effects().observed("completion", job.team(), job.finishedEpoch() - job.submittedEpoch());
+        observe("completion", job, job.finishedEpoch() - job.submittedEpoch());
     }
 
     @Override
@@ -215,7 +216,7 @@
         }
         job.running(state.context().epoch());
         state.changed(job);
-        state.context().effects().observed("waiting", job.team(), job.startedEpoch() - job.submittedEpoch());
+        observe("waiting", job, job.startedEpoch() - job.submittedEpoch());
         policy.feed(new PolicyEvent.AttemptStarted(attempt.policyIdentifier()));
         if (job.cancelRequested()) {
             job.stopping();
@@ -277,6 +278,7 @@
                 store.save(job, Optional.empty());
             }
         }
+        attempt.reclaimedAt().ifPresent(reclaimedAt -> observe("reclaim", job, state.now() - reclaimedAt));
         forgetLater(attempt);
         tellEnd(attempt, result);
         if (job.state() == JobState.QUEUED && attempt.policyIdentifier() == null) {
@@ -284,11 +286,19 @@
         }
     }
 
+    private void observe(String metric, Job job, long milliseconds) {
+        String workClass = job.submission().urgent()
+                ? "urgent"
+                : job.template().kind().name().toLowerCase(Locale.ROOT);
+        state.context().effects().observed(metric + "." + workClass, job.team(), milliseconds);
+    }
+
     private void decided(PolicyDecision decision) {
         switch (decision) {
             case PolicyDecision.Place place -> place(place);
             case PolicyDecision.Reclaim reclaim ->
                 openAttempt(reclaim.attempt()).ifPresent(attempt -> {
+                    attempt.reclaimed(state.now());
                     attempt.job().stopping();
                     state.changed(attempt.job());
                     protocol.end(
