Weight completion times by slowdown in the policy benchmark

Cause: completion_ratio was the mean slowdown alone. The measure is the slowdown-weighted completion time; the mean slowdown hides gangs behind the many small jobs, whose slowdown is near 1 under every policy. Change: completion_ratio is the mean of completion time times slowdown; the former figure is printed as slowdown_ratio.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/Figures.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/Figures.java
@@ -17,6 +17,9 @@
     final Histogram urgentStartMilliseconds = new Histogram(3);
     /** Slowdown of each job that succeeded: its time from submission to its answer over its run time. */
     final Map<JobIdentifier, Double> slowdowns = new TreeMap<>();
+    /** Time from submission to the answer times the slowdown, in milliseconds, of each job that succeeded. */
+    final Map<JobIdentifier, Double> weightedCompletions = new TreeMap<>();
+
     /** Time that each large job that succeeded spent not working, in milliseconds. */
     final Map<JobIdentifier, Double> largeWaits = new TreeMap<>();
 
@@ -51,6 +54,7 @@
         long took = nowMilliseconds - job.request().submittedMilliseconds();
         double run = Math.max(SHORTEST_RUN_MILLISECONDS, job.runMilliseconds());
         slowdowns.put(job.request().job(), Math.max(took, run) / run);
+        weightedCompletions.put(job.request().job(), took * (Math.max(took, run) / run));
         double[] sums =
                 slowdownsByTemplate.computeIfAbsent(job.request().template().name(), name -> new double[2]);
         sums[0] += Math.max(took, run) / run;
@@ -85,13 +89,24 @@
         return workedMilliseconds / ((double) deployment.accelerators() * deployment.horizonMilliseconds());
     }
 
-    /** Mean slowdown of the jobs that succeeded under both policies, over that of the other. */
+    /** Mean slowdown-weighted completion time of the jobs that succeeded under both, over that of the other. */
     double completionRatio(Figures other) {
-        return mean(other.slowdowns) / other.mean(slowdowns);
+        return mean(weightedCompletions, other.slowdowns) / mean(other.weightedCompletions, slowdowns);
     }
 
     /** The same at the 99th percentile. */
     double completionRatio99(Figures other) {
+        return quantile(weightedCompletions, other.slowdowns, 0.99)
+                / quantile(other.weightedCompletions, slowdowns, 0.99);
+    }
+
+    /** Mean slowdown of the jobs that succeeded under both policies, over that of the other. */
+    double slowdownRatio(Figures other) {
+        return mean(slowdowns, other.slowdowns) / mean(other.slowdowns, slowdowns);
+    }
+
+    /** The same at the 99th percentile. */
+    double slowdownRatio99(Figures other) {
         return quantile(slowdowns, other.slowdowns, 0.99) / quantile(other.slowdowns, slowdowns, 0.99);
     }
 
@@ -108,8 +123,8 @@
                 .orElse(Double.NaN);
     }
 
-    private double mean(Map<JobIdentifier, Double> common) {
-        return slowdowns.entrySet().stream()
+    private static double mean(Map<JobIdentifier, Double> values, Map<JobIdentifier, Double> common) {
+        return values.entrySet().stream()
                 .filter(entry -> common.containsKey(entry.getKey()))
                 .mapToDouble(Map.Entry::getValue)
                 .average()
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/PolicyBenchmark.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/policy/PolicyBenchmark.java
@@ -135,6 +135,8 @@
         others.forEach((name, other) -> {
             values.put("completion_ratio_" + name, ours.completionRatio(other));
             values.put("completion_ratio_" + name + "_p99", ours.completionRatio99(other));
+            values.put("slowdown_ratio_" + name, ours.slowdownRatio(other));
+            values.put("slowdown_ratio_" + name + "_p99", ours.slowdownRatio99(other));
         });
         others.forEach((name, other) ->
                 values.put("fragmentation_ratio_" + name, ours.fragmentation() / other.fragmentation()));
