Show in the region view what the placer started itself

Cause: the view was made from the agents' states, which drop reports of parts without a specification; only the relay notes the specification of a hold. So the status page listed no holders until the next takeover. Change: the view is made from the open attempts. Conclusion: EntryCoreTest shows both parts of a gang with their team.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionReport.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionReport.java
@@ -3,14 +3,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.teaselwood.entry.jobs.Job;
+import java.util.stream.Collectors;
 import org.teaselwood.entry.membership.Membership;
-import org.teaselwood.model.JobIdentifier;
 import org.teaselwood.model.JobState;
 import org.teaselwood.model.PartReport;
 import org.teaselwood.model.ServiceState;
 import org.teaselwood.policy.Scheduler;
-import org.teaselwood.protocol.message.AgentMessage.HeldPart;
 import org.teaselwood.protocol.message.RegionView;
 
 /** Makes the view of the region that operators see. */
@@ -24,6 +22,7 @@
             boolean runs = job.state() == JobState.RUNNING || job.state() == JobState.STOPPING;
             (runs ? running : waiting).merge(job.team(), 1, Integer::sum);
         });
+        Map<String, List<Holder>> holders = holders(state);
         return new RegionView(
                 state.context().settings().region(),
                 state.context().self(),
@@ -34,27 +33,48 @@
                 scheduler.fragmentation(),
                 membership.addresses(),
                 state.directory().all().stream()
-                        .map(agent -> serverView(state, agent))
+                        .map(agent -> serverView(state, agent, holders))
                         .toList(),
                 waiting,
                 running);
     }
 
-    private static RegionView.ServerView serverView(PlacerState state, KnownAgent agent) {
-        List<HeldPart> held = agent.state().parts().values().stream()
-                .filter(part -> part.report().phase().holdsResources())
-                .toList();
-        List<PartReport> reports = held.stream().map(HeldPart::report).toList();
-        List<String> teams = reports.stream()
-                .map(report -> teamOf(state, report.attempt().job()))
-                .toList();
-        return new RegionView.ServerView(agent.server(), condition(state, agent), reports, teams);
+    private static RegionView.ServerView serverView(
+            PlacerState state, KnownAgent agent, Map<String, List<Holder>> holders) {
+        List<Holder> here = holders.getOrDefault(agent.name(), List.of());
+        return new RegionView.ServerView(
+                agent.server(),
+                condition(state, agent),
+                here.stream().map(Holder::report).toList(),
+                here.stream().map(Holder::team).toList());
     }
 
-    private static String teamOf(PlacerState state, JobIdentifier job) {
-        return state.table().find(job).map(Job::team).orElse("");
+    /** Parts that hold resources, by backend server. */
+    private static Map<String, List<Holder>> holders(PlacerState state) {
+        return state.attempts().stream()
+                .flatMap(attempt -> attempt.parts().stream()
+                        .filter(part -> part.phase() != null && part.phase().holdsResources())
+                        .map(part -> holderOf(attempt, part)))
+                .collect(Collectors.groupingBy(Holder::server));
     }
 
+    private static Holder holderOf(Attempt attempt, AttemptPart part) {
+        PartReport report = new PartReport(
+                attempt.identifier(),
+                part.index(),
+                attempt.parts().size(),
+                part.phase(),
+                attempt.specification().resources(),
+                part.firstAccelerator(),
+                part.progress(),
+                part.checkpoint(),
+                "");
+        return new Holder(part.server(), report, attempt.job().team());
+    }
+
+    /** A part with the team that it belongs to. Immutable. */
+    private record Holder(String server, PartReport report, String team) {}
+
     private static String condition(PlacerState state, KnownAgent agent) {
         ServiceState service = state.context().configuration().stateOf(agent.name());
         if (agent.silent()) {
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/EntryCoreTest.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/EntryCoreTest.java
@@ -11,6 +11,8 @@
 import org.teaselwood.protocol.message.FrontReply;
 import org.teaselwood.protocol.message.FrontRequest;
 import org.teaselwood.protocol.message.JobView;
+import org.teaselwood.protocol.message.Principal;
+import org.teaselwood.protocol.message.RegionView;
 
 /** Tests of one entry without failures. */
 class EntryCoreTest {
@@ -22,6 +24,21 @@
         return ((FrontReply.JobReply) reply).job();
     }
 
+    /** Guards against a status page that shows no holders: parts that this placer started itself were left out. */
+    @Test
+    void the_region_view_shows_who_holds_what() {
+        JobView job = viewOf(region.ask(entry, VirtualRegion.submit("k1", "gang", true)));
+        region.run(500);
+        FrontReply reply = region.ask(entry, new FrontRequest.QueryRegion(Principal.OPERATOR));
+        List<RegionView.ServerView> servers =
+                ((FrontReply.RegionReply) reply).region().servers();
+        assertThat(servers.stream()
+                        .flatMap(server -> server.parts().stream())
+                        .map(part -> part.attempt().job()))
+                .containsExactly(job.job(), job.job());
+        assertThat(servers.stream().flatMap(server -> server.teams().stream())).containsExactly(job.team(), job.team());
+    }
+
     /** Guards against a job with one part that is committed, started twice, or whose answer is not whole. */
     @Test
     void a_job_with_one_part_is_held_started_and_answered() {
