Write the answer of a finished job that only the standby's copy has

Cause: a new placer wrote the final record of a copied job without its answer, so a job that had succeeded during an outage never delivered it. Change: Recovery.saveFinished writes the answer that the copy brought.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
@@ -124,7 +124,7 @@
                     .filter(job -> job.state().isFinal() && job.recorded())
                     .filter(job -> job.storeRevision() == Job.REVISION_UNKNOWN && !store.writing(job))
                     .toList()
-                    .forEach(job -> store.save(job, Optional.empty()));
+                    .forEach(job -> store.save(job, state.table().answer(job.identifier())));
         }
     }
 
--- a/teaselwood-entry/src/test/java/org/teaselwood/entry/core/EntryCoreFuzzTest.java
+++ b/teaselwood-entry/src/test/java/org/teaselwood/entry/core/EntryCoreFuzzTest.java
@@ -226,7 +226,7 @@
 
     private void checkAnswer(String where, JobView view) {
         FrontReply reply = region.ask(node(), new FrontRequest.FetchAnswer(VirtualRegion.TEAM, view.job()));
-        assertWithMessage(where + " answer").that(reply).isInstanceOf(FrontReply.AnswerReply.class);
+        assertWithMessage(where + " answer " + view + reply).that(reply).isInstanceOf(FrontReply.AnswerReply.class);
         String answer = new String(((FrontReply.AnswerReply) reply).content(), StandardCharsets.UTF_8);
         String[] parts = answer.split(";");
         String attempt = parts[0].substring(0, parts[0].lastIndexOf(':'));
