Keep a guarantee whole when a gang is adopted in part

Cause: a new placer that knew only some parts of a guaranteed gang let the policy move the gang's unit to those positions, so the unit had lost its other parts for good and no gang fitted any more; jobs waited for ever. Also, a placer learns the configuration before the servers, and guarantees that name only accelerators stayed without cores, memory and slots. Ruled out: a leaked occupant (explain now lists the units: all were free). Change: a unit moves only to positions of all its parts; the plan is configured again when servers join, as long as an amount is open; explain lists the team's guaranteed shapes, who holds them, and servers that take no work. Conclusion: two tests of the policy fail before and pass after.

--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Adoption.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Adoption.java
@@ -55,11 +55,13 @@
         });
     }
 
+    /** A new placer may know only some parts of a gang; a unit put there would have lost its other parts. */
     private boolean enterMoved(TrackedJob job) {
         for (GuaranteeUnit unit : state.plan.unitsOf(job.request.team())) {
             boolean alike = unit.isEmpty()
                     && !unit.excess
                     && unit.shape.parts() == job.shape().parts()
+                    && unit.shape.parts() == job.positions().size()
                     && unit.shape.part().accelerators() == job.shape().part().accelerators();
             if (alike && state.packer.moveTo(unit, job.positions())) {
                 if (covers(unit, job)) {
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Explanation.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Explanation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.teaselwood.model.JobIdentifier;
 
 /** Tells why a job waits or where it runs. Reads the state only. */
@@ -25,6 +26,8 @@
             lines.add("waits for attempts to stop on " + servers(job.claim.placements()) + ", for " + waited + " ms");
         } else {
             waiting(job, lines);
+            state.plan.unitsOf(job.request.team()).forEach(unit -> lines.add(describe(unit)));
+            unusableServers(lines);
         }
         shortfall(job.request.team(), lines);
         return lines;
@@ -64,6 +67,29 @@
         }
     }
 
+    private static String describe(GuaranteeUnit unit) {
+        String shape =
+                "guaranteed " + unit.shape.parts() + " x " + unit.shape.part().accelerators() + " accelerators, "
+                        + unit.shape.part().slots() + " slots: ";
+        if (!unit.isPlaced()) {
+            return shape + "no place";
+        }
+        String holders =
+                unit.occupants.stream().map(job -> job.request.job().toString()).collect(Collectors.joining(", "));
+        return shape + servers(unit.placements) + (holders.isEmpty() ? ", free" : ", held by " + holders);
+    }
+
+    private void unusableServers(List<String> lines) {
+        List<String> names = state.cluster.servers().stream()
+                .filter(server -> !server.isUsable(state.now))
+                .map(ServerState::name)
+                .sorted()
+                .toList();
+        if (!names.isEmpty()) {
+            lines.add("take no work: " + names);
+        }
+    }
+
     /** The rule for a shortfall is that of {@link UnitPacker}. */
     private void shortfall(String team, List<String> lines) {
         long missing = state.plan.unitsOf(team).stream()
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteePlan.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteePlan.java
@@ -25,6 +25,8 @@
     private final List<GuaranteeUnit> units = new ArrayList<>();
     private final Map<String, List<GuaranteeUnit>> unitsOfTeam = new TreeMap<>();
     private final Map<String, Set<GuaranteeUnit>> unitsOnServer = new HashMap<>();
+    /** Whether open amounts of a guarantee could not be filled in, because no able server was known. */
+    private boolean incomplete;
 
     GuaranteePlan(Cluster cluster) {
         this.cluster = cluster;
@@ -51,6 +53,7 @@
     void configure(Configuration configuration) {
         List<GuaranteeUnit> old = new ArrayList<>(units);
         units.clear();
+        incomplete = false;
         for (Team team : configuration.teams().values()) {
             for (Guarantee guarantee : team.guarantees()) {
                 addUnits(team.name(), guarantee, old);
@@ -66,8 +69,17 @@
         index();
     }
 
+    /**
+     * Whether to configure again when servers join. A new placer learns the configuration before the servers, and
+     * guarantees without their share of cores, memory and slots would be packed where they cannot run.
+     */
+    boolean isIncomplete() {
+        return incomplete;
+    }
+
     private void addUnits(String team, Guarantee guarantee, List<GuaranteeUnit> old) {
         Shape shape = GuaranteeUnit.completed(guarantee, cluster);
+        incomplete |= guarantee.shape().part().accelerators() > 0 && shape.equals(guarantee.shape());
         for (int index = 0; index < guarantee.count(); index++) {
             GuaranteeUnit unit = old.stream()
                     .filter(candidate -> candidate.isFor(team, shape, guarantee.capabilities()))
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteeScheduler.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/GuaranteeScheduler.java
@@ -168,6 +168,9 @@
         state.restoreNeeded = false;
         nextRestoreMilliseconds = state.now + RESTORE_PERIOD_MILLISECONDS;
         claimStarts.dropUnusable();
+        if (state.plan.isIncomplete()) {
+            state.plan.configure(state.configuration);
+        }
         state.packer.restore().forEach(state::becomeBorrowed);
         state.configuration.teams().keySet().forEach(state::teamUnitsChanged);
     }
--- a/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
+++ b/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
@@ -22,6 +22,7 @@
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.JobIdentifier;
 import org.teaselwood.model.Level;
+import org.teaselwood.model.PartResources;
 import org.teaselwood.model.Shape;
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.model.Template;
@@ -320,6 +321,39 @@
         assertThat(System.nanoTime() - before).isLessThan(2_000_000_000L);
     }
 
+    /** Guards against a guarantee that shrinks to the known parts of a gang and never holds a whole one again. */
+    @Test
+    void a_gang_adopted_in_part_leaves_the_guarantee_whole() {
+        Shape gang = PolicyFixture.shape(2, 4, Level.REGION);
+        PolicyFixture fixture = new PolicyFixture(new GuaranteeScheduler());
+        fixture.withTeams(PolicyFixture.team("a", 10, PolicyFixture.guarantee(gang, 1)));
+        fixture.withServers(2, 4);
+        fixture.send(new PolicyEvent.JobAdopted(
+                fixture.request("j1", "a", gang),
+                PolicyFixture.attempt("j1", 1),
+                List.of(new PartPlacement(0, "s00", 0)),
+                true,
+                0));
+        fixture.ended("j1", 1, AttemptResult.CANCELLED);
+        fixture.tick(1_000);
+        Template inside = PolicyFixture.template(gang, false);
+        List<PolicyDecision> made = fixture.submit(fixture.request("j2", "a", inside, false, false));
+        assertThat(PolicyFixture.places(made).getFirst().placements().stream().map(PartPlacement::server))
+                .containsExactly("s00", "s01");
+    }
+
+    /** Guards against guarantees without cores, memory and slots when the servers join after the configuration. */
+    @Test
+    void open_amounts_of_a_guarantee_are_filled_in_when_servers_join() {
+        Shape open = new Shape(1, PartResources.ofAccelerators(4), Level.SERVER);
+        GuaranteeScheduler scheduler = new GuaranteeScheduler();
+        PolicyFixture fixture = new PolicyFixture(scheduler);
+        fixture.withTeams(PolicyFixture.team("a", 10, PolicyFixture.guarantee(open, 1)));
+        fixture.withServers(1, 4);
+        fixture.tick(1_000);
+        assertThat(scheduler.plan().units().getFirst().shape.part()).isEqualTo(new PartResources(4, 8, 32, 131_072));
+    }
+
     /** Guards against a takeover that forgets which work is guaranteed, or starts it twice. */
     @Test
     void adopted_guaranteed_work_enters_its_unit() {
