Release holds of a closed backend server after five seconds

Cause: a part that was held before its agent was stopped could start up to 20 s later, when the starting mark was slow to write. Change: the agent releases and fences such holds after 5 s; committed parts, whose start follows at once, keep their own timeout.

--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/AgentCore.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/AgentCore.java
@@ -65,7 +65,7 @@
             when link.isCurrent(received.link()) -> received(received.command(), now);
             case AgentEvent.CommandReceived ignored -> effects.logged("ignored a command of an earlier connection", "");
             case AgentEvent.WorkerReplied replied -> worker.replied(replied.token(), replied.reply(), now);
-            case AgentEvent.ShutdownRequested ignored -> leave();
+            case AgentEvent.ShutdownRequested ignored -> leave(now);
             case AgentEvent.Tick ignored -> tick(now);
         }
         introduce(now);
@@ -91,7 +91,7 @@
         parts.fences().expire(now);
         parts.all().stream()
                 .filter(part -> part.phase == PartPhase.HELD || part.phase == PartPhase.COMMITTED)
-                .filter(part -> now >= part.deadline)
+                .filter(part -> now >= part.deadline || part.phase == PartPhase.HELD && commands.holdsAreOver(now))
                 .toList()
                 .forEach(part -> {
                     effects.logged("no command came in time; releasing a part", part.job());
@@ -112,9 +112,9 @@
         }
     }
 
-    private void leave() {
+    private void leave(long now) {
         if (!commands.isLeaving()) {
-            commands.leave();
+            commands.leave(now);
             link.send(new AgentMessage.AgentLeaving());
         }
     }
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/AgentTimings.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/AgentTimings.java
@@ -20,6 +20,9 @@
     /** Grace for the checkpoint of a part that stops because its gang was not renewed. */
     public static final long GANG_STOP_GRACE_MILLISECONDS = 3_000;
 
+    /** A hold granted before the server was closed is released after this time, so that nothing starts late. */
+    public static final long CLOSED_HOLD_MILLISECONDS = 5_000;
+
     /** A fenced attempt is refused for this time. */
     public static final long FENCE_MILLISECONDS = 600_000;
 
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/core/CommandHandler.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/core/CommandHandler.java
@@ -27,6 +27,8 @@
     private long configurationRevision;
     private ServiceState serviceState = ServiceState.IN_SERVICE;
     private boolean leaving;
+    /** Time since which new work is refused, meaningless while it is not. */
+    private long closedSince;
 
     CommandHandler(String serverName, PartTable parts, WorkerDriver worker, AnswerSender answers, EntryLink link) {
         this.serverName = serverName;
@@ -53,10 +55,16 @@
         return leaving;
     }
 
-    void leave() {
+    void leave(long now) {
+        closedSince = refusesNewWork() ? closedSince : now;
         leaving = true;
     }
 
+    /** Whether a hold that was granted before the server was closed must not start any more. */
+    boolean holdsAreOver(long now) {
+        return refusesNewWork() && now - closedSince >= AgentTimings.CLOSED_HOLD_MILLISECONDS;
+    }
+
     /** Carries out a command of a placer or of the connected entry. */
     void handle(AgentCommand command, long now) {
         switch (command) {
@@ -68,7 +76,7 @@
             case AgentCommand.Throttle throttle when admits(throttle.term()) -> throttle(throttle, now);
             case AgentCommand.RenewGang renewal when admits(renewal.term()) -> renew(renewal, now);
             case AgentCommand.ForgetAttempt forget when admits(forget.term()) -> forget(forget.attempt(), now);
-            case AgentCommand.ServiceStateChanged changed -> serviceStateChanged(changed);
+            case AgentCommand.ServiceStateChanged changed -> serviceStateChanged(changed, now);
             default -> {
                 // Commands of an older term were answered by admits; those of the link go to the agent core.
             }
@@ -217,8 +225,9 @@
         }
     }
 
-    private void serviceStateChanged(AgentCommand.ServiceStateChanged changed) {
+    private void serviceStateChanged(AgentCommand.ServiceStateChanged changed, long now) {
         if (changed.revision() >= configurationRevision) {
+            closedSince = refusesNewWork() ? closedSince : now;
             configurationRevision = changed.revision();
             serviceState = changed.state();
         }
