Keep the traces of attempts that are not repeatable until a final record

Cause: a placer that met an attempt of another placer, which it had not read of, stopped it and had the agent forget it. The mark that it read afterwards led it to ask that agent, whose answer 'never held' looked like 'never started', and the job ran again. Change: such traces are dropped only when the final record is written.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
@@ -307,12 +307,15 @@
                 .ifPresent(lifecycle::schedule);
     }
 
-    /** Whether the record of the job does not say yet what the traces of an attempt say. */
+    /**
+     * Whether the record of the job does not say yet what the traces of an attempt say. For a job that is not
+     * repeatable only a final record does: another placer may have marked an attempt that this one has not read of, and
+     * an agent that has forgotten it answers like one on which it never started.
+     */
     private boolean tracesNeeded(AttemptIdentifier identifier) {
         return state.table()
                 .find(identifier.job())
-                .filter(job ->
-                        !job.written() && (!job.repeatable() || job.state().isFinal()))
+                .filter(job -> job.state().isFinal() ? !job.written() : !job.repeatable())
                 .isPresent();
     }
 
