Learn the accelerators of an adopted part from its report

Cause: a part of another placer's attempt that had not been heard of was adopted with an unknown position, and its guarantee unit was moved there without accelerators; no gang fitted into it any more. Change: a report fills in the position, and a unit moves only to whole positions. explain also lists what runs beside a guaranteed shape.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/AttemptPart.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/AttemptPart.java
@@ -7,7 +7,9 @@
 /** One part of an open attempt, as the placer knows it. Phases only advance, so that late reports change nothing. */
 final class AttemptPart {
     private final int index;
-    private final int firstAccelerator;
+    /** First of its accelerators, -1 for none or while a part of another placer's attempt has not been heard of. */
+    private int firstAccelerator;
+
     private String server;
     private String incarnation;
     private PartPhase phase;
@@ -38,6 +40,7 @@
      */
     boolean report(PartReport report, long now) {
         progress = Math.max(progress, report.progressPercent());
+        firstAccelerator = Math.max(firstAccelerator, report.firstAccelerator());
         boolean changed = report.checkpoint() > checkpoint;
         checkpoint = Math.max(checkpoint, report.checkpoint());
         boolean terminal = phase != null && !phase.holdsResources();
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Adoption.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Adoption.java
@@ -55,13 +55,20 @@
         });
     }
 
-    /** A new placer may know only some parts of a gang; a unit put there would have lost its other parts. */
+    /** A new placer may know only some positions of a gang; a unit put there would have lost the others for good. */
+    private static boolean isWhole(TrackedJob job) {
+        boolean takesAccelerators = job.shape().part().accelerators() > 0;
+        return job.positions().size() == job.shape().parts()
+                && job.positions().stream()
+                        .allMatch(position -> !takesAccelerators || position.firstAccelerator() >= 0);
+    }
+
     private boolean enterMoved(TrackedJob job) {
         for (GuaranteeUnit unit : state.plan.unitsOf(job.request.team())) {
             boolean alike = unit.isEmpty()
                     && !unit.excess
                     && unit.shape.parts() == job.shape().parts()
-                    && unit.shape.parts() == job.positions().size()
+                    && isWhole(job)
                     && unit.shape.part().accelerators() == job.shape().part().accelerators();
             if (alike && state.packer.moveTo(unit, job.positions())) {
                 if (covers(unit, job)) {
--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Explanation.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Explanation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.Collectors;
 import org.teaselwood.model.JobIdentifier;
 
@@ -67,7 +68,7 @@
         }
     }
 
-    private static String describe(GuaranteeUnit unit) {
+    private String describe(GuaranteeUnit unit) {
         String shape =
                 "guaranteed " + unit.shape.parts() + " x " + unit.shape.part().accelerators() + " accelerators, "
                         + unit.shape.part().slots() + " slots: ";
@@ -76,7 +77,25 @@
         }
         String holders =
                 unit.occupants.stream().map(job -> job.request.job().toString()).collect(Collectors.joining(", "));
-        return shape + servers(unit.placements) + (holders.isEmpty() ? ", free" : ", held by " + holders);
+        return shape
+                + servers(unit.placements)
+                + (holders.isEmpty() ? ", free" : ", held by " + holders)
+                + lentTo(unit);
+    }
+
+    /** Attempts on the servers of a unit that run outside of it. */
+    private String lentTo(GuaranteeUnit unit) {
+        String others = unit.area.keySet().stream()
+                .map(state.cluster::find)
+                .filter(Objects::nonNull)
+                .flatMap(server -> server.attempts.stream())
+                .filter(attempt -> attempt.job.unit != unit)
+                .map(attempt -> attempt.identifier
+                        + (attempt.isStopping() ? " (stopping)" : "")
+                        + (attempt.job.unit == null ? "" : " (guaranteed)"))
+                .distinct()
+                .collect(Collectors.joining(", "));
+        return others.isEmpty() ? "" : "; beside it run " + others;
     }
 
     private void unusableServers(List<String> lines) {
--- a/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
+++ b/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
@@ -18,6 +18,8 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.teaselwood.model.Configuration;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.JobIdentifier;
@@ -322,8 +324,9 @@
     }
 
     /** Guards against a guarantee that shrinks to the known parts of a gang and never holds a whole one again. */
-    @Test
-    void a_gang_adopted_in_part_leaves_the_guarantee_whole() {
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void a_gang_adopted_in_part_leaves_the_guarantee_whole(boolean otherServerKnown) {
         Shape gang = PolicyFixture.shape(2, 4, Level.REGION);
         PolicyFixture fixture = new PolicyFixture(new GuaranteeScheduler());
         fixture.withTeams(PolicyFixture.team("a", 10, PolicyFixture.guarantee(gang, 1)));
@@ -331,7 +334,9 @@
         fixture.send(new PolicyEvent.JobAdopted(
                 fixture.request("j1", "a", gang),
                 PolicyFixture.attempt("j1", 1),
-                List.of(new PartPlacement(0, "s00", 0)),
+                otherServerKnown
+                        ? List.of(new PartPlacement(0, "s00", 0), new PartPlacement(1, "s01", -1))
+                        : List.of(new PartPlacement(0, "s00", 0)),
                 true,
                 0));
         fixture.ended("j1", 1, AttemptResult.CANCELLED);
