Take over the record of a job that another placer stopped with a checkpoint

Cause: two placers of the same term. One ran a job that is not repeatable, stopped it with a checkpoint and wrote it back as queued; the other met the conflict, saw no starting mark, wrote its own over the record and started the job from the beginning. Change: a conflicting record of another writer with another checkpoint takes the place of what the placer knows.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Oracle.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Oracle.java
@@ -120,7 +120,11 @@
         boolean resumed = !specification.resumeFrom().isEmpty()
                 && specification.resumeFrom().equals(history.resumable.remove(task.part()));
         if (!history.submission.repeatable() && starts > 1 && !resumed) {
-            report("P5", now, identity + " is not repeatable and starts again as " + task);
+            report(
+                    "P5",
+                    now,
+                    identity + " is not repeatable and starts again as " + task + ", from checkpoint '"
+                            + specification.resumeFrom() + "'");
         }
         checkLeaving(server, task, now);
         Gang gang = gangs.computeIfAbsent(task.attempt(), ignored -> new Gang(specification.parts()));
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/Recovery.java
@@ -86,10 +86,7 @@
         Job job = known.orElse(null);
         if (job == null || supersedes(record, job)) {
             known.ifPresent(this::discard);
-            Job loaded = Job.of(record);
-            loaded.stored(record.version(), revision);
-            state.table().add(loaded);
-            state.loaded(loaded);
+            load(record, revision);
         } else if (job.storeRevision() == Job.REVISION_UNKNOWN && !store.writing(job)) {
             job.stored(record.version(), revision);
             if (job.version() > record.version()) {
@@ -98,6 +95,20 @@
         }
     }
 
+    /** The record of another placer takes the place of what is known of a job. */
+    void replaced(Job job, JobRecord record, long revision) {
+        discard(job);
+        load(record, revision);
+        settle();
+    }
+
+    private void load(JobRecord record, long revision) {
+        Job loaded = Job.of(record);
+        loaded.stored(record.version(), revision);
+        state.table().add(loaded);
+        state.loaded(loaded);
+    }
+
     /** Recovers what the agents report, and gives all other jobs that wait to the policy. */
     void settle() {
         recover();
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionWork.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/placer/RegionWork.java
@@ -252,11 +252,21 @@
             replaceBy(job, () -> recovery.recorded(record, revision));
         } else if (job.markedOtherwise(record)) {
             replaceBy(job, () -> recovery.recoverMarked(job, record));
+        } else if (ranElsewhere(job, record)) {
+            replaceBy(job, () -> recovery.replaced(job, record, revision));
         } else {
             store.save(job, state.table().answer(job.identifier()));
         }
     }
 
+    /** Whether another placer ran a job that is not repeatable and stopped it with a checkpoint unknown here. */
+    private boolean ranElsewhere(Job job, JobRecord record) {
+        return !job.repeatable()
+                && !job.state().isFinal()
+                && !record.writer().equals(state.context().settings().incarnation())
+                && !record.resumeFrom().equals(job.resumeFrom());
+    }
+
     @Override
     public void delayed(Job job) {
         submissions.delayed(job);
