Do not let alike jobs displace each other

Cause: expected remaining times grow with the time run, so long jobs of a class that was short before stopped each other in turn and none got on. Change: a job never displaces the same work of the same team, unless overdue.

--- a/teaselwood-policy/src/main/java/org/teaselwood/policy/Displacement.java
+++ b/teaselwood-policy/src/main/java/org/teaselwood/policy/Displacement.java
@@ -84,7 +84,7 @@
         if (overdue) {
             return victim.job.request.submittedMilliseconds() > job.request.submittedMilliseconds();
         }
-        if (!victim.job.request.template().checkpointable()) {
+        if (!victim.job.request.template().checkpointable() || isAlike(job, victim)) {
             return false;
         }
         return remaining.computeIfAbsent(victim, this::expectedRemaining)
@@ -92,6 +92,18 @@
                 || job.accelerators() >= 4 * Math.max(1, victim.job.accelerators());
     }
 
+    /**
+     * Whether a victim is the same work of the same team. Its expected remaining time only grows with the time it has
+     * run, so alike jobs that run long would displace each other in turn and none would get on.
+     */
+    private static boolean isAlike(TrackedJob job, TrackedAttempt victim) {
+        return job.request.team().equals(victim.job.request.team())
+                && job.request
+                        .template()
+                        .name()
+                        .equals(victim.job.request.template().name());
+    }
+
     private long expectedRemaining(TrackedAttempt victim) {
         return state.runTimes.remaining(
                 victim.job.request.team(),
--- a/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
+++ b/teaselwood-policy/src/test/java/org/teaselwood/policy/GuaranteeSchedulerTest.java
@@ -347,6 +347,27 @@
                 .containsExactly("s00", "s01");
     }
 
+    /** Guards against alike jobs that stop each other in turn, because their class was short before. */
+    @Test
+    void alike_jobs_that_run_long_do_not_displace_each_other() {
+        Shape one = PolicyFixture.shape(1, 4, Level.SERVER);
+        PolicyFixture fixture = new PolicyFixture(new GuaranteeScheduler());
+        fixture.withTeams(PolicyFixture.team("a", 10)).withServers(1, 4);
+        for (int index = 0; index < 20; index++) {
+            fixture.submit(fixture.request("short" + index, "a", one));
+            fixture.started("short" + index, 1);
+            fixture.now += 2_000;
+            fixture.ended("short" + index, 1, AttemptResult.SUCCEEDED);
+        }
+        fixture.submit(fixture.request("long", "a", one));
+        fixture.started("long", 1);
+        fixture.submit(fixture.request("next", "a", one));
+        for (int second = 0; second < 600; second++) {
+            fixture.tick(1_000);
+        }
+        assertThat(PolicyFixture.reclaims(fixture.decisions)).isEmpty();
+    }
+
     /** Guards against guarantees without cores, memory and slots when the servers join after the configuration. */
     @Test
     void open_amounts_of_a_guarantee_are_filled_in_when_servers_join() {
