Look up closed servers three times before the fuzzing's epilogue

Cause: a run of three actions was settled before the drain of its race was accepted, so a server stayed closed and the epilogue found the cluster not full (; explain shows the server among those that take no work). Change: a run is settled after three steps of 5 s that all look settled; the epilogue tells why a borrower waits.

--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Epilogue.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Epilogue.java
@@ -19,6 +19,8 @@
     private static final long RECLAIM_MILLISECONDS = 5_000;
 
     /** A quarantined server is probed after 15 s, a second time after 30 s and so on. */
+    private static final long EXPLAIN_MILLISECONDS = 2_000;
+
     private static final long FILL_LIMIT_MILLISECONDS = 300_000;
 
     private static final long STOP_LIMIT_MILLISECONDS = 120_000;
@@ -65,7 +67,16 @@
                                 .sum()
                         == accelerators);
         if (!full) {
-            report("P1", "borrowed work does not fill the healed cluster");
+            borrowers.forEach(FakeCaller::explain);
+            advanceUntil(EXPLAIN_MILLISECONDS, () -> false);
+            report(
+                    "P1",
+                    "borrowed work does not fill the healed cluster: "
+                            + borrowers.stream()
+                                    .map(FakeCaller::explanation)
+                                    .filter(text -> text.contains("QUEUED"))
+                                    .findFirst()
+                                    .orElse(""));
         }
         return full;
     }
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Run.java
@@ -15,6 +15,9 @@
 final class Run {
     private static final long SETTLE_MILLISECONDS = 8_000;
     private static final long HEAL_LIMIT_MILLISECONDS = 300_000;
+    /** A change of service state may be accepted, and seen by the operators, only after the first steps. */
+    private static final int SETTLED_STEPS = 3;
+
     private static final long HEAL_STEP_MILLISECONDS = 5_000;
     private static final long REPLACEMENT_MILLISECONDS = 4_000;
     private static final long AGENT_RESTART_MILLISECONDS = 1_000;
@@ -329,8 +332,10 @@
     private void heal() {
         long limit = world.time().nowMilliseconds() + HEAL_LIMIT_MILLISECONDS;
         long done = 0;
-        while (world.time().nowMilliseconds() < limit && !isSettled()) {
+        int settledSteps = 0;
+        while (world.time().nowMilliseconds() < limit && settledSteps < SETTLED_STEPS) {
             world.advance(HEAL_STEP_MILLISECONDS);
+            settledSteps = isSettled() ? settledSteps + 1 : 0;
             long nowDone = world.callers().stream().filter(FakeCaller::isDone).count();
             if (nowDone > done) {
                 done = nowDone;
