--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/Main.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/Main.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import java.io.PrintStream;
+import java.util.List;
 import org.teaselwood.bench.control.ControlBenchmark;
 import org.teaselwood.bench.policy.PolicyBenchmark;
 
@@ -22,6 +23,10 @@
                 .addCommand("policy", policy)
                 .addCommand("control", control)
                 .build();
+        if (List.of(arguments).contains("--help")) {
+            commander.usage();
+            return;
+        }
         try {
             commander.parse(arguments);
             if (commander.getParsedCommand() == null) {
