Take a peer's configuration revision from its heartbeat

Cause: every tick of 100 ms built a sorted map of all peers' revisions to tell the configuration core what their heartbeats had already brought. Change: the heartbeat is passed on when it arrives; Membership.revisions is gone. The effect on processor time was not measured.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/ConfigurationDesk.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/ConfigurationDesk.java
@@ -8,7 +8,6 @@
 import org.teaselwood.entry.configuration.ConfigurationCore;
 import org.teaselwood.entry.configuration.ConfigurationEffects;
 import org.teaselwood.entry.configuration.GuaranteeCheck;
-import org.teaselwood.entry.membership.Membership;
 import org.teaselwood.model.Configuration;
 import org.teaselwood.protocol.message.EntryMessage;
 import org.teaselwood.protocol.message.FrontReply;
@@ -23,7 +22,6 @@
 
     private final EntryContext context;
     private final Outbox outbox;
-    private final Membership membership;
     private final BiConsumer<Requester, FrontReply> replies;
     private final Consumer<Configuration> applied;
     private final ConfigurationCore core;
@@ -35,13 +33,11 @@
     ConfigurationDesk(
             EntryContext context,
             Outbox outbox,
-            Membership membership,
             BiConsumer<Requester, FrontReply> replies,
             Consumer<Configuration> applied,
             GuaranteeCheck guaranteeCheck) {
         this.context = context;
         this.outbox = outbox;
-        this.membership = membership;
         this.replies = replies;
         this.applied = applied;
         this.core = new ConfigurationCore(POLL_MILLISECONDS, this, next -> checkIfChanged(next, guaranteeCheck));
@@ -53,7 +49,6 @@
             started = true;
             core.start(context.now());
         }
-        membership.revisions().forEach((entry, revision) -> core.peerReported(entry, revision, context.now()));
         core.tick(context.now());
     }
 
@@ -61,6 +56,10 @@
         core.mayHaveChanged(context.now());
     }
 
+    void peerReported(String peer, long revision) {
+        core.peerReported(peer, revision, context.now());
+    }
+
     void agentReported(long revision) {
         core.agentReported(revision, context.now());
     }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/core/EntryCore.java
@@ -44,8 +44,7 @@
         outbox = new Outbox(context, membership);
         relay = new AgentRelay(context, outbox, membership);
         placer = new Placer(context, outbox, membership, schedulers, this::replyTo, this::changeConfiguration);
-        configuration =
-                new ConfigurationDesk(context, outbox, membership, this::replyTo, this::apply, placer::checkGuarantees);
+        configuration = new ConfigurationDesk(context, outbox, this::replyTo, this::apply, placer::checkGuarantees);
         desk = new FrontDesk(context, outbox, membership, placer);
     }
 
@@ -176,7 +175,10 @@
     private void fromEntry(String entry, EntryMessage message) {
         switch (message) {
             case EntryMessage.EntryHello ignored -> {}
-            case EntryMessage.EntryHeartbeat heartbeat -> membership.heard(entry, heartbeat);
+            case EntryMessage.EntryHeartbeat heartbeat -> {
+                membership.heard(entry, heartbeat);
+                configuration.peerReported(entry, heartbeat.configurationRevision());
+            }
             case EntryMessage.KnownEntries known -> membership.learned(known.entries());
             case EntryMessage.FromAgents batch -> placer.fromAgents(batch);
             case EntryMessage.AgentSnapshots snapshots -> placer.snapshots(snapshots);
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Membership.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/membership/Membership.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.teaselwood.entry.core.EntryContext;
 import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
@@ -91,13 +90,6 @@
         }
     }
 
-    /** Configuration revisions that the peers reported, by entry. */
-    public Map<String, Long> revisions() {
-        return peers.entrySet().stream()
-                .collect(Collectors.toMap(
-                        Map.Entry::getKey, peer -> peer.getValue().revision(), (one, other) -> one, TreeMap::new));
-    }
-
     /** A peer told whom it knows. */
     public void learned(List<EntryAddress> addresses) {
         addresses.stream()
