--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeAgent.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeAgent.java
@@ -38,7 +38,10 @@
         this.worker = worker;
         this.core = new AgentCore(server, incarnation, this);
         node.deliver(() -> handle(new AgentEvent.ProcessStarted()));
-        tickLater();
+        node.repeat(world.time(), TICK_MILLISECONDS, () -> {
+            handle(new AgentEvent.Tick());
+            connectIfNeeded();
+        });
     }
 
     Node node() {
@@ -203,15 +206,4 @@
     private void handle(AgentEvent event) {
         core.handle(event, world.time().nowMilliseconds());
     }
-
-    private void tickLater() {
-        world.time()
-                .schedule(
-                        TICK_MILLISECONDS,
-                        () -> node.deliver(() -> {
-                            handle(new AgentEvent.Tick());
-                            connectIfNeeded();
-                            tickLater();
-                        }));
-    }
 }
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeEntry.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/FakeEntry.java
@@ -38,7 +38,7 @@
         this.address = address;
         this.core = world.newCore(address, this);
         world.network().listen(World.hostPort(address), this);
-        tickLater();
+        node.repeat(world.time(), TICK_MILLISECONDS, () -> handle(new EntryEvent.Tick()));
     }
 
     @Override
@@ -203,15 +203,4 @@
     private void handle(EntryEvent event) {
         core.handle(event, world.time().nowMilliseconds());
     }
-
-    /** A paused process ticks once when it resumes, like a process that was stopped. */
-    private void tickLater() {
-        world.time()
-                .schedule(
-                        TICK_MILLISECONDS,
-                        () -> node.deliver(() -> {
-                            handle(new EntryEvent.Tick());
-                            tickLater();
-                        }));
-    }
 }
--- a/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Node.java
+++ b/teaselwood-bench/src/main/java/org/teaselwood/bench/fuzz/Node.java
@@ -47,6 +47,16 @@
         }
     }
 
+    /** Runs a step of this process at an interval; a paused process runs it once when it resumes. */
+    void repeat(VirtualTime time, long intervalMilliseconds, Runnable step) {
+        time.schedule(
+                intervalMilliseconds,
+                () -> deliver(() -> {
+                    step.run();
+                    repeat(time, intervalMilliseconds, step);
+                }));
+    }
+
     void pause() {
         paused = true;
     }
