--- a/teaselwood-model/src/main/java/org/teaselwood/model/ErrorAnswer.java
+++ b/teaselwood-model/src/main/java/org/teaselwood/model/ErrorAnswer.java
@@ -28,6 +28,7 @@
             case STOPPING -> new ErrorAnswer(503, Outcome.NOT_RUN, true);
             case NOT_READY -> new ErrorAnswer(503, Outcome.NOT_RUN, true);
             case STORE_UNAVAILABLE -> new ErrorAnswer(503, Outcome.UNKNOWN, true);
+            case STORE_REFUSED -> new ErrorAnswer(503, Outcome.NOT_RUN, true);
             case DEADLINE_EXCEEDED -> new ErrorAnswer(504, Outcome.NOT_RUN, false);
             case IMPOSSIBLE -> new ErrorAnswer(422, Outcome.NOT_RUN, false);
             case ATTEMPTS_EXHAUSTED -> new ErrorAnswer(500, Outcome.FAILED, false);
--- a/teaselwood-model/src/main/java/org/teaselwood/model/ErrorKind.java
+++ b/teaselwood-model/src/main/java/org/teaselwood/model/ErrorKind.java
@@ -23,6 +23,7 @@
     STOPPING("The entry is shutting down; use another one"),
     NOT_READY("The entry is not ready: {0}"),
     STORE_UNAVAILABLE("The key-value service cannot be reached: {0}"),
+    STORE_REFUSED("The key-value service did nothing: {0}"),
     DEADLINE_EXCEEDED("The job did not start before its deadline"),
     IMPOSSIBLE("No backend server or set of servers can run the job: {0}"),
     ATTEMPTS_EXHAUSTED("The job failed on {0} distinct backend servers; last failure: {1}"),
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
@@ -10,6 +10,7 @@
 import org.teaselwood.protocol.message.FrontReply;
 import org.teaselwood.protocol.message.FrontRequest;
 import org.teaselwood.protocol.message.Message;
+import org.teaselwood.protocol.message.WorkMessage;
 
 /** The number of every message on the wire. Numbers are never used again for another message. Thread-safe. */
 public final class MessageTypes {
@@ -93,6 +94,15 @@
                         FrontReply.RegionReply.class,
                         FrontReply.ConfigurationReply.class,
                         FrontReply.Refused.class));
+        register(
+                128,
+                List.of(
+                        WorkMessage.ServerReport.class,
+                        WorkMessage.OrderResult.class,
+                        WorkMessage.ServerLeft.class,
+                        WorkMessage.StartTask.class,
+                        WorkMessage.StopTask.class,
+                        WorkMessage.Contact.class));
     }
 
     private MessageTypes() {}
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/Message.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/Message.java
@@ -5,4 +5,4 @@
  * each its number on the wire. New fields go to the end of a record.
  */
 public sealed interface Message
-        permits AgentMessage, AgentCommand, ConnectionMessage, EntryMessage, FrontRequest, FrontReply {}
+        permits AgentMessage, AgentCommand, ConnectionMessage, EntryMessage, FrontRequest, FrontReply, WorkMessage {}
--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/JsonLogConfigurator.java
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/JsonLogConfigurator.java
@@ -1,4 +1,4 @@
-package org.teaselwood.agent;
+package org.teaselwood.settings;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
@@ -10,7 +10,7 @@
 import ch.qos.logback.core.spi.ContextAwareBase;
 
 /**
- * Configures Logback: one JSON object a line on standard error. Logback finds it as a service.
+ * Configures Logback: one JSON object a line on standard output. Logback finds it as a service.
  *
  * <p>An XML file would say the same, but its parser costs several megabytes of the agent's resident set.
  */
@@ -29,7 +29,7 @@
         ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
         appender.setContext(context);
         appender.setName("json");
-        appender.setTarget("System.err");
+        appender.setTarget("System.out");
         appender.setEncoder(encoder);
         appender.start();
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
--- /dev/null
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/WorkloadSettings.java
@@ -0,0 +1,92 @@
+package org.teaselwood.settings;
+
+import java.nio.file.Path;
+import java.util.Optional;
+import org.teaselwood.model.ErrorKind;
+
+/**
+ * Settings of the processes that run stepped jobs, from the sections {@code [node]} and {@code [bounds]}. Immutable.
+ *
+ * @param name name of the VM
+ * @param dataCentre data centre of the VM
+ * @param internal address that the entries and agents of this deployment use between them
+ * @param callers address for callers, present on an entry
+ * @param readiness address of the readiness check, present on an entry
+ * @param announcements address on which the backend server announces itself, present beside an agent
+ * @param worker address of the backend server, present beside an agent
+ * @param store address of the key-value service
+ * @param longestHoldMilliseconds longest lease of what runs on a backend server
+ * @param gangWaitMilliseconds time after which a lone member of a gang ends
+ * @param stopMilliseconds longest time that a stop takes
+ * @param graceMilliseconds time between a request to stop the process and its end
+ */
+public record WorkloadSettings(
+        String name,
+        String dataCentre,
+        NetworkAddress internal,
+        Optional<NetworkAddress> callers,
+        Optional<NetworkAddress> readiness,
+        Optional<NetworkAddress> announcements,
+        Optional<NetworkAddress> worker,
+        NetworkAddress store,
+        long longestHoldMilliseconds,
+        long gangWaitMilliseconds,
+        long stopMilliseconds,
+        long graceMilliseconds) {
+    private static final long HOUR_MILLISECONDS = 3_600_000;
+
+    private static final Setting<String> NAME = Setting.required("name", ValueTypes.name());
+    private static final Setting<String> DATA_CENTRE = Setting.required("data-centre", ValueTypes.name());
+    private static final Setting<NetworkAddress> INTERNAL = Setting.required("internal", ValueTypes.address());
+    private static final Setting<Optional<NetworkAddress>> CALLERS = Setting.optional("callers", ValueTypes.address());
+    private static final Setting<Optional<NetworkAddress>> READINESS =
+            Setting.optional("readiness", ValueTypes.address());
+    private static final Setting<Optional<NetworkAddress>> ANNOUNCEMENTS =
+            Setting.optional("announcements", ValueTypes.address());
+    private static final Setting<Optional<NetworkAddress>> WORKER = Setting.optional("worker", ValueTypes.address());
+    private static final Setting<NetworkAddress> STORE = Setting.required("store", ValueTypes.address());
+    private static final SectionSchema NODE =
+            SectionSchema.of(NAME, DATA_CENTRE, INTERNAL, CALLERS, READINESS, ANNOUNCEMENTS, WORKER, STORE);
+
+    private static final Setting<Long> LONGEST_HOLD =
+            Setting.required("longest-hold", ValueTypes.duration(1, HOUR_MILLISECONDS));
+    private static final Setting<Long> GANG_WAIT =
+            Setting.required("gang-wait", ValueTypes.duration(1, HOUR_MILLISECONDS));
+    private static final Setting<Long> STOP = Setting.required("stop", ValueTypes.duration(0, HOUR_MILLISECONDS));
+    private static final Setting<Long> GRACE = Setting.required("grace", ValueTypes.duration(0, HOUR_MILLISECONDS));
+    private static final SectionSchema BOUNDS = SectionSchema.of(LONGEST_HOLD, GANG_WAIT, STOP, GRACE);
+
+    /**
+     * Reads a file.
+     *
+     * @throws org.teaselwood.model.TeaselwoodException of kind BAD_SETTING with one line for each fault
+     */
+    public static WorkloadSettings read(Path path) {
+        return of(IniDocument.read(path, ErrorKind.BAD_SETTING));
+    }
+
+    /**
+     * Checks a parsed file.
+     *
+     * @throws org.teaselwood.model.TeaselwoodException of kind BAD_SETTING with one line for each fault
+     */
+    public static WorkloadSettings of(IniDocument document) {
+        SettingsFile file = new SettingsFile(document);
+        SectionValues node = file.section("node", NODE);
+        SectionValues bounds = file.section("bounds", BOUNDS);
+        file.finish();
+        return new WorkloadSettings(
+                node.get(NAME),
+                node.get(DATA_CENTRE),
+                node.get(INTERNAL),
+                node.get(CALLERS),
+                node.get(READINESS),
+                node.get(ANNOUNCEMENTS),
+                node.get(WORKER),
+                node.get(STORE),
+                bounds.get(LONGEST_HOLD),
+                bounds.get(GANG_WAIT),
+                bounds.get(STOP),
+                bounds.get(GRACE));
+    }
+}
--- a/teaselwood-store/src/main/java/org/teaselwood/store/KeyValueService.java
+++ b/teaselwood-store/src/main/java/org/teaselwood/store/KeyValueService.java
@@ -6,7 +6,7 @@
 
 /**
  * The platform's key-value service. Thread-safe. Every call may fail with STORE_UNAVAILABLE; a transaction that fails
- * so may have taken effect all the same and must be read back.
+ * so may have taken effect all the same and must be read back. A call that fails with STORE_REFUSED did nothing.
  */
 public interface KeyValueService extends AutoCloseable {
     /** The value of a key. */
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/PlacerLink.java
@@ -0,0 +1,221 @@
+package org.teaselwood.workload.agent;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.util.List;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.MessageConnection;
+import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.protocol.SharedKey;
+import org.teaselwood.protocol.message.Message;
+import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueService;
+import org.teaselwood.workload.record.WorkloadKeys;
+
+/**
+ * Keeps an agent connected to the elected placer. Confined to one event loop.
+ *
+ * <p>The store says who is elected. A watch tells of a change at once; while there is no answer from the placer the key
+ * is also read, because a watch may be silent and because the age of "no placer is elected" has to be known.
+ */
+public final class PlacerLink {
+    private static final Logger LOGGER = LoggerFactory.getLogger(PlacerLink.class);
+    private static final long TICK_MILLISECONDS = 100;
+    private static final long READ_MILLISECONDS = 500;
+    private static final long REOPEN_MILLISECONDS = 300;
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 700;
+
+    /** A connection without an answer for three reports is replaced. */
+    private static final long SILENCE_MILLISECONDS = 1_500;
+
+    private final Vertx vertx;
+    private final MonotonicClock clock;
+    private final KeyValueService store;
+    private final SharedKey key;
+    private final WorkAgent agent;
+    private final NetClient client;
+    private PlacerLocation location;
+    private MessageConnection connection;
+    private boolean connecting;
+    private long connectedAt;
+    private long nextConnectAt;
+    private long nextReadAt;
+    private boolean reading;
+
+    /** A link that is started by {@link #start}. */
+    public PlacerLink(Vertx vertx, MonotonicClock clock, KeyValueService store, SharedKey key, WorkAgent agent) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.store = store;
+        this.key = key;
+        this.agent = agent;
+        this.client = vertx.createNetClient(new NetClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
+                .setTcpNoDelay(true));
+    }
+
+    /** Begins; call on the event loop. */
+    public void start() {
+        openWatch();
+        vertx.setPeriodic(TICK_MILLISECONDS, timer -> tick());
+    }
+
+    /** Decodes the value of the election key; empty when it cannot be read. */
+    public static Optional<PlacerLocation> decode(KeyValue item) {
+        try {
+            JsonObject json = new JsonObject(Buffer.buffer(item.value()));
+            return Optional.of(new PlacerLocation(
+                    item.revision(), json.getString("entry"), json.getString("host"), json.getInteger("port")));
+        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+            LOGGER.warn("the election key cannot be read: {}", exception.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void openWatch() {
+        store.watch(WorkloadKeys.PLACER, new KeyValueService.WatchListener() {
+            @Override
+            public void opened() {
+                vertx.runOnContext(ignored -> readLocation());
+            }
+
+            @Override
+            public void changed(List<KeyValue> changes, long revision) {
+                vertx.runOnContext(ignored -> changes.forEach(PlacerLink.this::located));
+            }
+
+            @Override
+            public void broken(Throwable cause) {
+                LOGGER.info("watch of the election is broken: {}", cause.getMessage());
+                vertx.setTimer(REOPEN_MILLISECONDS, timer -> openWatch());
+            }
+        });
+    }
+
+    private void readLocation() {
+        if (reading) {
+            return;
+        }
+        reading = true;
+        long askedAt = clock.nowMilliseconds();
+        nextReadAt = askedAt + READ_MILLISECONDS;
+        store.get(WorkloadKeys.PLACER)
+                .subscribe()
+                .with(
+                        item -> {
+                            reading = false;
+                            item.ifPresentOrElse(this::located, () -> agent.vacancyConfirmed(askedAt));
+                        },
+                        failure -> {
+                            reading = false;
+                            LOGGER.info("the election cannot be read: {}", failure.getMessage());
+                        });
+    }
+
+    private void located(KeyValue item) {
+        if (!item.key().equals(WorkloadKeys.PLACER) || item.value().length == 0) {
+            nextReadAt = 0;
+            return;
+        }
+        decode(item)
+                .filter(found -> location == null || found.term() > location.term())
+                .ifPresent(found -> {
+                    LOGGER.info("placer of term {} is {}", found.term(), found.entry());
+                    location = found;
+                    nextConnectAt = 0;
+                    closeConnection();
+                    connect();
+                });
+    }
+
+    private void tick() {
+        long now = clock.nowMilliseconds();
+        agent.tick();
+        boolean answered = now - agent.contactAt() <= SILENCE_MILLISECONDS;
+        if (connection != null && !answered && now - connectedAt > SILENCE_MILLISECONDS) {
+            LOGGER.info("the placer does not answer; connecting again");
+            closeConnection();
+        }
+        if (!answered && now >= nextReadAt) {
+            readLocation();
+        }
+        connect();
+    }
+
+    private void connect() {
+        long now = clock.nowMilliseconds();
+        if (connection != null || connecting || location == null || now < nextConnectAt) {
+            return;
+        }
+        connecting = true;
+        PlacerLocation target = location;
+        client.connect(target.port(), target.host()).onComplete(result -> {
+            connecting = false;
+            nextConnectAt = clock.nowMilliseconds() + REOPEN_MILLISECONDS;
+            if (result.failed()) {
+                LOGGER.info(
+                        "placer {} cannot be reached: {}",
+                        target.entry(),
+                        result.cause().getMessage());
+            } else if (target.equals(location)) {
+                connectedAt = clock.nowMilliseconds();
+                connection = MessageConnection.connect(result.result(), key, new Receiver(target.term()));
+            } else {
+                result.result().close();
+            }
+        });
+    }
+
+    private void closeConnection() {
+        if (connection != null) {
+            MessageConnection closing = connection;
+            connection = null;
+            agent.disconnected();
+            closing.close();
+        }
+    }
+
+    private final class Receiver implements MessageConnection.Listener {
+        private final long term;
+
+        Receiver(long term) {
+            this.term = term;
+        }
+
+        @Override
+        public void opened(MessageConnection opened) {
+            if (opened == connection) {
+                agent.connected(term, opened::send);
+            }
+        }
+
+        @Override
+        public void received(MessageConnection from, Message message) {
+            if (from != connection) {
+                return;
+            }
+            if (message instanceof WorkMessage work) {
+                agent.received(work);
+            } else {
+                LOGGER.warn("ignored {} from the placer", message.getClass().getSimpleName());
+            }
+        }
+
+        @Override
+        public void closed(MessageConnection closed) {
+            if (closed == connection) {
+                LOGGER.info("connection to the placer is closed");
+                connection = null;
+                agent.disconnected();
+                nextReadAt = 0;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/package-info.java
@@ -0,0 +1,2 @@
+/** The process beside a backend server: renews leases, carries out orders, reports. */
+package org.teaselwood.workload.agent;
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
@@ -0,0 +1,156 @@
+package org.teaselwood.workload.entry;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.store.KeyValueCondition;
+import org.teaselwood.store.KeyValueOperation;
+import org.teaselwood.store.KeyValueService;
+import org.teaselwood.store.KeyValueTransaction;
+import org.teaselwood.workload.model.JobSpecification;
+import org.teaselwood.workload.record.JobPhase;
+import org.teaselwood.workload.record.WorkloadJson;
+import org.teaselwood.workload.record.WorkloadKeys;
+
+/**
+ * What callers ask of any entry. Thread-safe.
+ *
+ * <p>Everything is read from and written to the key-value service, so that every entry gives the same answer whether or
+ * not it can reach the placer. Accepting a job is one write on condition that its key does not exist; a write without an
+ * answer is repeated, because the condition makes the repetition harmless.
+ */
+public final class JobDesk {
+    private static final Logger LOGGER = LoggerFactory.getLogger(JobDesk.class);
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(50);
+
+    /** Published counts that did not change hands for this long are not given out: three publishing intervals. */
+    private static final long PENDING_AGE_MILLISECONDS = 3_000;
+
+    private final Vertx vertx;
+    private final MonotonicClock clock;
+    private final KeyValueService store;
+    private volatile SeenCounts seenCounts = new SeenCounts(0, 0);
+
+    private record SeenCounts(long revision, long firstSeenAt) {}
+
+    /** What became of a submission. */
+    public enum Submission {
+        /** The job is stored. */
+        ACCEPTED,
+        /** The job is not stored and never will be under this request. */
+        NOT_ACCEPTED,
+        /** The job may be stored. */
+        UNKNOWN
+    }
+
+    /** A desk on the given store. */
+    public JobDesk(Vertx vertx, MonotonicClock clock, KeyValueService store) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.store = store;
+    }
+
+    /** Stores a job, trying until the time limit in milliseconds. */
+    public Uni<Submission> submit(JobSpecification job, long limitMilliseconds) {
+        KeyValueTransaction creation = new KeyValueTransaction(
+                List.of(new KeyValueCondition(WorkloadKeys.accepted(job.id()), 0)),
+                List.of(new KeyValueOperation.Put(WorkloadKeys.accepted(job.id()), WorkloadJson.encode(job), 0)));
+        return trySubmit(creation, job.id(), clock.nowMilliseconds() + limitMilliseconds, false);
+    }
+
+    private Uni<Submission> trySubmit(KeyValueTransaction creation, String job, long until, boolean uncertain) {
+        return store.transact(creation)
+                .map(result -> Submission.ACCEPTED)
+                .onFailure()
+                .recoverWithUni(failure -> {
+                    boolean nowUncertain = uncertain || !isRefusal(failure);
+                    LOGGER.info("job {} not stored yet: {}", job, failure.getMessage());
+                    if (clock.nowMilliseconds() + RETRY_PAUSE.toMillis() >= until) {
+                        return Uni.createFrom().item(nowUncertain ? Submission.UNKNOWN : Submission.NOT_ACCEPTED);
+                    }
+                    return pause().chain(() -> trySubmit(creation, job, until, nowUncertain));
+                });
+    }
+
+    /** Whether the store said that it did nothing. */
+    private static boolean isRefusal(Throwable failure) {
+        return failure instanceof TeaselwoodException exception && exception.kind() == ErrorKind.STORE_REFUSED;
+    }
+
+    /** The state of a job, empty when there is no such job. */
+    public Uni<Optional<JobPhase>> phase(String job, long limitMilliseconds) {
+        return retried(
+                () -> store.get(WorkloadKeys.progress(job))
+                        .chain(progress -> progress.isPresent()
+                                ? Uni.createFrom()
+                                        .item(Optional.of(WorkloadJson.decodeRecord(
+                                                        progress.get().value())
+                                                .phase()))
+                                : store.get(WorkloadKeys.accepted(job))
+                                        .map(accepted -> accepted.map(item -> JobPhase.QUEUED))),
+                limitMilliseconds);
+    }
+
+    /** Cancels a job; false when there is no such job. */
+    public Uni<Boolean> cancel(String job, long limitMilliseconds) {
+        return retried(
+                () -> store.get(WorkloadKeys.accepted(job))
+                        .chain(accepted -> accepted.isEmpty()
+                                ? Uni.createFrom().item(false)
+                                : store.transact(new KeyValueTransaction(
+                                                List.of(),
+                                                List.of(new KeyValueOperation.Put(
+                                                        WorkloadKeys.cancelled(job), new byte[] {1}, 0))))
+                                        .map(result -> true)),
+                limitMilliseconds);
+    }
+
+    /** Number of jobs of a queue that have not started; fails when no placer has published it lately. */
+    public Uni<Integer> pending(String queue, long limitMilliseconds) {
+        return retried(
+                () -> store.get(WorkloadKeys.PENDING).map(item -> {
+                    long revision = item.map(found -> found.revision()).orElse(0L);
+                    long now = clock.nowMilliseconds();
+                    if (seenCounts.revision() != revision) {
+                        seenCounts = new SeenCounts(revision, now);
+                    }
+                    if (revision == 0 || now - seenCounts.firstSeenAt() > PENDING_AGE_MILLISECONDS) {
+                        throw TeaselwoodException.of(ErrorKind.NO_PLACER);
+                    }
+                    Map<String, Integer> counts =
+                            WorkloadJson.decodePending(item.orElseThrow().value());
+                    return counts.getOrDefault(queue, 0);
+                }),
+                limitMilliseconds);
+    }
+
+    private interface Attempt<T> {
+        Uni<T> get();
+    }
+
+    private <T> Uni<T> retried(Attempt<T> attempt, long limitMilliseconds) {
+        return retriedUntil(attempt, clock.nowMilliseconds() + limitMilliseconds);
+    }
+
+    private <T> Uni<T> retriedUntil(Attempt<T> attempt, long until) {
+        return attempt.get().onFailure().recoverWithUni(failure -> {
+            if (clock.nowMilliseconds() + RETRY_PAUSE.toMillis() >= until) {
+                return Uni.createFrom().failure(failure);
+            }
+            return pause().chain(() -> retriedUntil(attempt, until));
+        });
+    }
+
+    private Uni<Void> pause() {
+        return Uni.createFrom()
+                .emitter(emitter -> vertx.setTimer(RETRY_PAUSE.toMillis(), timer -> emitter.complete(null)));
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -0,0 +1,252 @@
+package org.teaselwood.workload.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.DutyThread;
+import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueCondition;
+import org.teaselwood.store.KeyValueOperation;
+import org.teaselwood.store.KeyValueService;
+import org.teaselwood.store.KeyValueTransaction;
+import org.teaselwood.workload.model.WorkloadConfiguration;
+import org.teaselwood.workload.model.WorkloadTimings;
+import org.teaselwood.workload.placer.AgentConnection;
+import org.teaselwood.workload.placer.PlacerEffects;
+import org.teaselwood.workload.placer.WorkPlacer;
+import org.teaselwood.workload.record.WorkloadJson;
+import org.teaselwood.workload.record.WorkloadKeys;
+
+/**
+ * Runs the placer on its duty thread and carries out what it asks of the store. The handler is confined to the duty
+ * thread; {@link #offer} may be called from any thread.
+ */
+final class PlacerDuty implements DutyThread.Handler<PlacerEvent>, PlacerEffects {
+    private static final Logger LOGGER = LoggerFactory.getLogger(PlacerDuty.class);
+    private static final long LOAD_RETRY_MILLISECONDS = 300;
+
+    private final KeyValueService store;
+    private final WorkloadTimings timings;
+    private final LongConsumer termLost;
+    private DutyThread<PlacerEvent> thread;
+    private WorkloadConfiguration configuration;
+    private final List<KeyValue> early = new ArrayList<>();
+    private long term;
+    private long loadAt;
+    private WorkPlacer placer;
+
+    PlacerDuty(KeyValueService store, WorkloadTimings timings, LongConsumer termLost) {
+        this.store = store;
+        this.timings = timings;
+        this.termLost = termLost;
+    }
+
+    /** The thread that runs this handler. */
+    void runOn(DutyThread<PlacerEvent> newThread) {
+        thread = newThread;
+    }
+
+    void offer(PlacerEvent event) {
+        if (!thread.offer(event)) {
+            LOGGER.error("the ring of the placer is full; dropped {}", event.getClass().getSimpleName());
+        }
+    }
+
+    @Override
+    public void handle(PlacerEvent event, long now) {
+        switch (event) {
+            case PlacerEvent.Elected elected -> {
+                term = elected.term();
+                placer = null;
+                early.clear();
+                load();
+            }
+            case PlacerEvent.Deposed deposed -> {
+                term = 0;
+                placer = null;
+                early.clear();
+            }
+            case PlacerEvent.Loaded loaded -> loaded(loaded, now);
+            case PlacerEvent.Configured configured -> {
+                configuration = configured.configuration();
+                withPlacer(running -> running.configurationChanged(configuration));
+            }
+            case PlacerEvent.Requested requested -> requested(requested.requests(), now);
+            case PlacerEvent.Received received -> withPlacer(running -> received(running, received, now));
+            case PlacerEvent.Disconnected disconnected ->
+                withPlacer(running -> running.disconnected(disconnected.connection()));
+            case PlacerEvent.Written written when written.term() == term ->
+                withPlacer(running -> running.written(written.revision()));
+            case PlacerEvent.RevisionsRead read when read.term() == term ->
+                withPlacer(running -> running.revisionsRead(read.revisions()));
+            case PlacerEvent.WriteFailed failed when failed.term() == term ->
+                withPlacer(running -> running.writeFailed(now));
+            case PlacerEvent outdated -> LOGGER.debug("ignored {}", outdated);
+        }
+        withPlacer(running -> running.advance(now));
+    }
+
+    @Override
+    public void tick(long now) {
+        if (term != 0 && placer == null && now >= loadAt) {
+            load();
+        }
+        withPlacer(running -> running.advance(now));
+    }
+
+    @Override
+    public void write(List<RecordWrite> writes) {
+        long writeTerm = term;
+        List<KeyValueCondition> conditions = new ArrayList<>();
+        conditions.add(new KeyValueCondition(WorkloadKeys.PLACER, writeTerm));
+        writes.forEach(write ->
+                conditions.add(new KeyValueCondition(WorkloadKeys.progress(write.job()), write.expectedRevision())));
+        List<KeyValueOperation> operations = writes.stream()
+                .<KeyValueOperation>map(
+                        write -> new KeyValueOperation.Put(WorkloadKeys.progress(write.job()), write.value(), 0))
+                .toList();
+        store.transact(new KeyValueTransaction(conditions, operations))
+                .subscribe()
+                .with(
+                        result -> {
+                            if (result.applied()) {
+                                offer(new PlacerEvent.Written(writeTerm, result.revision()));
+                            } else {
+                                readBack(writeTerm, writes);
+                            }
+                        },
+                        failure -> {
+                            LOGGER.info("a write of {} records has no result: {}", writes.size(), failure.getMessage());
+                            offer(new PlacerEvent.WriteFailed(writeTerm));
+                        });
+    }
+
+    @Override
+    public void publishPending(Map<String, Integer> pending) {
+        store.transact(new KeyValueTransaction(
+                        List.of(new KeyValueCondition(WorkloadKeys.PLACER, term)),
+                        List.of(new KeyValueOperation.Put(
+                                WorkloadKeys.PENDING, WorkloadJson.encodePending(pending), 0))))
+                .subscribe()
+                .with(
+                        result -> LOGGER.debug("published {}", pending),
+                        failure -> LOGGER.info("the waiting jobs were not published: {}", failure.getMessage()));
+    }
+
+    @Override
+    public long wallMilliseconds() {
+        return System.currentTimeMillis();
+    }
+
+    private interface PlacerUse {
+        void with(WorkPlacer running);
+    }
+
+    private void withPlacer(PlacerUse use) {
+        if (placer != null) {
+            use.with(placer);
+        }
+    }
+
+    /** Reads everything; the requests last, so that none that was accepted before is missed. */
+    private void load() {
+        long loadTerm = term;
+        loadAt = Long.MAX_VALUE;
+        store.list(WorkloadKeys.PROGRESS)
+                .chain(progress -> store.list(WorkloadKeys.REQUESTS)
+                        .map(requests -> new PlacerEvent.Loaded(loadTerm, progress, requests)))
+                .subscribe()
+                .with(this::offer, failure -> {
+                    LOGGER.info("the stored jobs cannot be read: {}", failure.getMessage());
+                    offer(new PlacerEvent.Loaded(loadTerm, null, null));
+                });
+    }
+
+    private void loaded(PlacerEvent.Loaded loaded, long now) {
+        if (loaded.term() != term || placer != null) {
+            return;
+        }
+        if (loaded.progress() == null || configuration == null) {
+            loadAt = now + LOAD_RETRY_MILLISECONDS;
+            return;
+        }
+        placer = new WorkPlacer(term, timings, configuration, this);
+        Map<String, KeyValue> progress = new HashMap<>();
+        loaded.progress().forEach(item -> progress.put(WorkloadKeys.jobOf(item.key()), item));
+        loaded.requests().stream()
+                .filter(item -> WorkloadKeys.isAccepted(item.key()))
+                .forEach(item -> request(placer, item, progress, now));
+        loaded.requests().stream()
+                .filter(item -> WorkloadKeys.isCancelled(item.key()))
+                .forEach(item -> request(placer, item, progress, now));
+        early.forEach(item -> request(placer, item, progress, now));
+        early.clear();
+        LOGGER.info("placer of term {} loaded {} requests", term, loaded.requests().size());
+    }
+
+    /** One unreadable value must not keep the others from being served. */
+    private static void request(WorkPlacer running, KeyValue item, Map<String, KeyValue> progress, long now) {
+        if (item.value().length == 0) {
+            return;
+        }
+        String job = WorkloadKeys.jobOf(item.key());
+        try {
+            if (WorkloadKeys.isCancelled(item.key())) {
+                running.jobCancelled(job, now);
+            } else if (WorkloadKeys.isAccepted(item.key())) {
+                Optional<WorkPlacer.StoredRecord> stored = Optional.ofNullable(progress.get(job))
+                        .map(record -> new WorkPlacer.StoredRecord(
+                                WorkloadJson.decodeRecord(record.value()), record.revision()));
+                running.jobAccepted(WorkloadJson.decodeJob(job, item.value()), item.revision(), stored, now);
+            }
+        } catch (TeaselwoodException exception) {
+            LOGGER.error("the value of {} cannot be read: {}", item.key(), exception.getMessage());
+        }
+    }
+
+    /** Requests that arrive while the stored jobs are read may be missing from what is read. */
+    private void requested(List<KeyValue> requests, long now) {
+        if (placer == null) {
+            if (term != 0) {
+                early.addAll(requests);
+            }
+        } else {
+            requests.forEach(item -> request(placer, item, Map.of(), now));
+        }
+    }
+
+    private void received(WorkPlacer running, PlacerEvent.Received received, long now) {
+        AgentConnection connection = received.connection();
+        switch (received.message()) {
+            case WorkMessage.ServerReport report -> running.report(connection, report, now);
+            case WorkMessage.OrderResult result -> running.orderAnswered(result, now);
+            case WorkMessage.ServerLeft left -> running.serverLeft(left.server(), left.start(), now);
+            case WorkMessage order -> LOGGER.warn("ignored {} from an agent", order.getClass().getSimpleName());
+        }
+    }
+
+    private void readBack(long writeTerm, List<RecordWrite> writes) {
+        store.get(WorkloadKeys.PLACER)
+                .chain(item -> {
+                    if (item.isEmpty() || item.get().revision() != writeTerm) {
+                        termLost.accept(writeTerm);
+                    }
+                    return store.list(WorkloadKeys.PROGRESS);
+                })
+                .subscribe()
+                .with(
+                        items -> {
+                            Map<String, Long> revisions = new HashMap<>();
+                            items.forEach(item -> revisions.put(WorkloadKeys.jobOf(item.key()), item.revision()));
+                            offer(new PlacerEvent.RevisionsRead(writeTerm, revisions));
+                        },
+                        failure -> offer(new PlacerEvent.WriteFailed(writeTerm)));
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEvent.java
@@ -0,0 +1,41 @@
+package org.teaselwood.workload.entry;
+
+import java.util.List;
+import java.util.Map;
+import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.workload.model.WorkloadConfiguration;
+import org.teaselwood.workload.placer.AgentConnection;
+
+/** What the placer's duty thread handles. Immutable. */
+sealed interface PlacerEvent {
+    /** This entry is the placer of a term. */
+    record Elected(long term) implements PlacerEvent {}
+
+    /** This entry is not the placer any more. */
+    record Deposed() implements PlacerEvent {}
+
+    /** The stored jobs were read. */
+    record Loaded(long term, List<KeyValue> progress, List<KeyValue> requests) implements PlacerEvent {}
+
+    /** Callers wrote requests. */
+    record Requested(List<KeyValue> requests) implements PlacerEvent {}
+
+    /** A configuration is in force. */
+    record Configured(WorkloadConfiguration configuration) implements PlacerEvent {}
+
+    /** A message of an agent. */
+    record Received(AgentConnection connection, WorkMessage message) implements PlacerEvent {}
+
+    /** A connection of an agent is closed. */
+    record Disconnected(AgentConnection connection) implements PlacerEvent {}
+
+    /** A write took effect. */
+    record Written(long term, long revision) implements PlacerEvent {}
+
+    /** A condition of a write did not hold. */
+    record RevisionsRead(long term, Map<String, Long> revisions) implements PlacerEvent {}
+
+    /** It is not known whether a write took effect. */
+    record WriteFailed(long term) implements PlacerEvent {}
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
@@ -0,0 +1,246 @@
+package org.teaselwood.workload.entry;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueCondition;
+import org.teaselwood.store.KeyValueOperation;
+import org.teaselwood.store.KeyValueService;
+import org.teaselwood.store.KeyValueTransaction;
+import org.teaselwood.workload.agent.PlacerLink;
+import org.teaselwood.workload.agent.PlacerLocation;
+import org.teaselwood.workload.record.WorkloadKeys;
+
+/**
+ * Elects one placer through the key-value service. Confined to one event loop.
+ *
+ * <p>The elected entry holds one key under a lease. The revision of the key is the term: every later write of the
+ * placer is conditional on it and every order carries it, so that correctness never depends on time; the lease only
+ * decides how soon a dead placer is replaced. An entry that finds its own former election takes the key over at once.
+ */
+public final class TermElection {
+    private static final Logger LOGGER = LoggerFactory.getLogger(TermElection.class);
+
+    /** The key-value service counts leases in whole seconds; two of them bear one lost renewal. */
+    private static final long LEASE_SECONDS = 2;
+
+    private static final long RENEW_MILLISECONDS = 500;
+    private static final long RETRY_MILLISECONDS = 200;
+    private static final long READ_MILLISECONDS = 1_000;
+
+    private final Vertx vertx;
+    private final MonotonicClock clock;
+    private final KeyValueService store;
+    private final Candidate candidate;
+    private final Listener listener;
+    private boolean stopped;
+    private boolean eligible;
+    private boolean busy;
+    private long term;
+    private long lease;
+    private long nextActionAt;
+    private long readAt;
+
+    /**
+     * The entry that stands for election. Immutable.
+     *
+     * @param entry name of the entry
+     * @param host IP address of its internal port
+     * @param port internal port
+     */
+    public record Candidate(String entry, String host, int port) {}
+
+    /** Told of elections, on the event loop. */
+    public interface Listener {
+        /** This entry is the placer of a term. */
+        void elected(long term);
+
+        /** This entry is not the placer any more. */
+        void deposed();
+    }
+
+    /** An election that is started by {@link #start}. */
+    public TermElection(
+            Vertx vertx, MonotonicClock clock, KeyValueService store, Candidate candidate, Listener listener) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.store = store;
+        this.candidate = candidate;
+        this.listener = listener;
+    }
+
+    /** Begins to follow the election; call on the event loop. */
+    public void start() {
+        openWatch();
+        vertx.setPeriodic(RETRY_MILLISECONDS / 2, timer -> tick());
+    }
+
+    /** Whether this entry may be elected: it has a configuration. */
+    public void setEligible(boolean value) {
+        eligible = value;
+    }
+
+    /** The store says that another term is in force. */
+    public void termLost(long lostTerm) {
+        if (term == lostTerm && term != 0) {
+            depose("the store has another term");
+        }
+    }
+
+    /** Gives the term up, so that another entry is elected at once. */
+    public void resign() {
+        stopped = true;
+        if (term != 0) {
+            long resigned = term;
+            depose("it is stopping");
+            store.transact(new KeyValueTransaction(
+                            List.of(new KeyValueCondition(WorkloadKeys.PLACER, resigned)),
+                            List.of(new KeyValueOperation.Delete(WorkloadKeys.PLACER))))
+                    .subscribe()
+                    .with(
+                            result -> LOGGER.info("resigned term {}", resigned),
+                            failure -> LOGGER.info("could not resign: {}", failure.getMessage()));
+        }
+    }
+
+    private void openWatch() {
+        store.watch(WorkloadKeys.PLACER, new KeyValueService.WatchListener() {
+            @Override
+            public void opened() {
+                vertx.runOnContext(ignored -> readElection());
+            }
+
+            @Override
+            public void changed(List<KeyValue> changes, long revision) {
+                vertx.runOnContext(ignored -> changes.forEach(item -> {
+                    if (item.key().equals(WorkloadKeys.PLACER)) {
+                        seen(item.value().length == 0 ? Optional.empty() : Optional.of(item));
+                    }
+                }));
+            }
+
+            @Override
+            public void broken(Throwable cause) {
+                vertx.setTimer(RETRY_MILLISECONDS, timer -> openWatch());
+            }
+        });
+    }
+
+    private void tick() {
+        long now = clock.nowMilliseconds();
+        if (stopped || busy || now < nextActionAt) {
+            return;
+        }
+        if (term != 0) {
+            renew();
+        } else if (now - readAt > READ_MILLISECONDS) {
+            readElection();
+        }
+    }
+
+    private void readElection() {
+        readAt = clock.nowMilliseconds();
+        store.get(WorkloadKeys.PLACER)
+                .subscribe()
+                .with(this::seen, failure -> LOGGER.info("the election cannot be read: {}", failure.getMessage()));
+    }
+
+    private void seen(Optional<KeyValue> item) {
+        if (term != 0) {
+            if (item.isEmpty() || item.get().revision() > term) {
+                depose("the store has another term");
+            } else {
+                return;
+            }
+        }
+        if (stopped || !eligible || busy) {
+            return;
+        }
+        if (item.isEmpty()) {
+            campaign(0);
+        } else if (isOwn(item.get())) {
+            campaign(item.get().revision());
+        }
+    }
+
+    private boolean isOwn(KeyValue item) {
+        return PlacerLink.decode(item)
+                .filter(found -> isCandidate(found))
+                .isPresent();
+    }
+
+    private boolean isCandidate(PlacerLocation found) {
+        return found.entry().equals(candidate.entry()) && found.host().equals(candidate.host());
+    }
+
+    private void campaign(long expectedRevision) {
+        busy = true;
+        byte[] value = new JsonObject()
+                .put("entry", candidate.entry())
+                .put("host", candidate.host())
+                .put("port", candidate.port())
+                .toBuffer()
+                .getBytes();
+        store.grantLease(LEASE_SECONDS)
+                .invoke(granted -> lease = granted)
+                .chain(granted -> store.transact(new KeyValueTransaction(
+                        List.of(new KeyValueCondition(WorkloadKeys.PLACER, expectedRevision)),
+                        List.of(new KeyValueOperation.Put(WorkloadKeys.PLACER, value, granted)))))
+                .subscribe()
+                .with(
+                        result -> {
+                            busy = false;
+                            if (result.applied()) {
+                                elect(result.revision());
+                            }
+                        },
+                        failure -> {
+                            // If the write took effect all the same, the next read finds the entry's own election.
+                            busy = false;
+                            readAt = clock.nowMilliseconds() - READ_MILLISECONDS + RETRY_MILLISECONDS;
+                            LOGGER.info("could not stand for election: {}", failure.getMessage());
+                        });
+    }
+
+    private void elect(long newTerm) {
+        if (stopped) {
+            return;
+        }
+        term = newTerm;
+        nextActionAt = clock.nowMilliseconds() + RENEW_MILLISECONDS;
+        LOGGER.info("elected placer of term {}", newTerm);
+        listener.elected(newTerm);
+    }
+
+    private void renew() {
+        busy = true;
+        long renewedTerm = term;
+        store.renewLease(lease)
+                .subscribe()
+                .with(
+                        ignored -> {
+                            busy = false;
+                            nextActionAt = clock.nowMilliseconds() + RENEW_MILLISECONDS;
+                        },
+                        failure -> {
+                            busy = false;
+                            nextActionAt = clock.nowMilliseconds() + RETRY_MILLISECONDS;
+                            LOGGER.info("term {} could not be renewed: {}", renewedTerm, failure.getMessage());
+                            if (term == renewedTerm) {
+                                readElection();
+                            }
+                        });
+    }
+
+    private void depose(String reason) {
+        LOGGER.info("placer of term {} steps down: {}", term, reason);
+        term = 0;
+        readAt = 0;
+        listener.deposed();
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
@@ -0,0 +1,152 @@
+package org.teaselwood.workload.entry;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.DutyThread;
+import org.teaselwood.protocol.MessageConnection;
+import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.protocol.SharedKey;
+import org.teaselwood.protocol.message.Message;
+import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueService;
+import org.teaselwood.workload.model.WorkloadConfiguration;
+import org.teaselwood.workload.model.WorkloadTimings;
+import org.teaselwood.workload.placer.AgentConnection;
+import org.teaselwood.workload.record.WorkloadKeys;
+
+/**
+ * The parts of an entry process that place work: election, duty thread of the placer, connections of agents. Its
+ * methods may be called from any thread.
+ */
+public final class WorkEntry {
+    private static final Logger LOGGER = LoggerFactory.getLogger(WorkEntry.class);
+    private static final int RING_EVENTS = 8_192;
+    private static final long TICK_MILLISECONDS = 50;
+    private static final long REOPEN_MILLISECONDS = 200;
+
+    private final Vertx vertx;
+    private final KeyValueService store;
+    private final SharedKey key;
+    private final TermElection.Candidate candidate;
+    private final PlacerDuty duty;
+    private final TermElection election;
+    private NetServer server;
+
+    /** An entry that is started by {@link #start}. */
+    public WorkEntry(
+            Vertx vertx,
+            MonotonicClock clock,
+            KeyValueService store,
+            SharedKey key,
+            TermElection.Candidate candidate,
+            WorkloadTimings timings) {
+        this.vertx = vertx;
+        this.store = store;
+        this.key = key;
+        this.candidate = candidate;
+        this.duty = new PlacerDuty(store, timings, term -> vertx.runOnContext(ignored -> termLost(term)));
+        this.duty.runOn(new DutyThread<>("placer", RING_EVENTS, TICK_MILLISECONDS, clock, duty));
+        this.election = new TermElection(vertx, clock, store, candidate, new TermElection.Listener() {
+            @Override
+            public void elected(long term) {
+                duty.offer(new PlacerEvent.Elected(term));
+            }
+
+            @Override
+            public void deposed() {
+                duty.offer(new PlacerEvent.Deposed());
+            }
+        });
+    }
+
+    /** Listens for agents and stands for election. */
+    public Future<Void> start() {
+        server =
+                vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true));
+        server.connectHandler(socket -> MessageConnection.accept(socket, key, new AgentListener()));
+        return server.listen(candidate.port(), candidate.host()).map(listening -> {
+            openWatch();
+            election.start();
+            return null;
+        });
+    }
+
+    /** A configuration is in force. */
+    public void configured(WorkloadConfiguration configuration) {
+        duty.offer(new PlacerEvent.Configured(configuration));
+        vertx.runOnContext(ignored -> election.setEligible(true));
+    }
+
+    /** Gives up the election before a planned stop. */
+    public void resign() {
+        vertx.runOnContext(ignored -> election.resign());
+    }
+
+    private void termLost(long term) {
+        election.termLost(term);
+    }
+
+    private void openWatch() {
+        store.watch(WorkloadKeys.REQUESTS, new KeyValueService.WatchListener() {
+            @Override
+            public void opened() {
+                store.list(WorkloadKeys.REQUESTS)
+                        .subscribe()
+                        .with(items -> duty.offer(new PlacerEvent.Requested(items)), failure -> {
+                            LOGGER.info("requests cannot be read: {}", failure.getMessage());
+                            vertx.setTimer(REOPEN_MILLISECONDS, timer -> opened());
+                        });
+            }
+
+            @Override
+            public void changed(List<KeyValue> changes, long revision) {
+                duty.offer(new PlacerEvent.Requested(changes));
+            }
+
+            @Override
+            public void broken(Throwable cause) {
+                LOGGER.info("watch of requests is broken: {}", cause.getMessage());
+                vertx.setTimer(REOPEN_MILLISECONDS, timer -> openWatch());
+            }
+        });
+    }
+
+    private final class AgentListener implements MessageConnection.Listener, AgentConnection {
+        private MessageConnection connection;
+
+        @Override
+        public void opened(MessageConnection opened) {
+            connection = opened;
+        }
+
+        @Override
+        public void received(MessageConnection from, Message message) {
+            if (message instanceof WorkMessage work) {
+                duty.offer(new PlacerEvent.Received(this, work));
+            } else {
+                LOGGER.warn("ignored {} from an agent", message.getClass().getSimpleName());
+            }
+        }
+
+        @Override
+        public void closed(MessageConnection closed) {
+            duty.offer(new PlacerEvent.Disconnected(this));
+        }
+
+        @Override
+        public void send(WorkMessage message) {
+            connection.send(message);
+        }
+
+        @Override
+        public void close() {
+            connection.close();
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadTimings.java
@@ -0,0 +1,32 @@
+package org.teaselwood.workload.model;
+
+/**
+ * Bounds of the deployment, in milliseconds. Immutable.
+ *
+ * @param longestHoldMilliseconds longest lease that a backend server grants to what runs on it
+ * @param gangWaitMilliseconds time after which a member of a gang that is alone ends by itself
+ * @param stopMilliseconds longest time that a backend server takes to stop a task
+ */
+public record WorkloadTimings(long longestHoldMilliseconds, long gangWaitMilliseconds, long stopMilliseconds) {
+    /** An agent renews leases only this long after its placer last answered it. */
+    public static final long CONTACT_MILLISECONDS = 2_000;
+
+    /** Time between two reports of an agent, and so the granularity at which silence is noticed. */
+    public static final long REPORT_MILLISECONDS = 500;
+
+    /** An agent that is silent for two reports and a half gets no new tasks. */
+    public static final long SUSPECT_MILLISECONDS = 1_250;
+
+    /** Clocks of backend servers may be two percent slow, so that their leases last longer. */
+    private static final double SLOWEST_CLOCK = 1.02;
+
+    /** Margin for timers that fire late. */
+    private static final long TIMER_SLACK_MILLISECONDS = 200;
+
+    /** Time after the last message of an agent at which everything on its backend server has surely ended. */
+    public long lostAfterMilliseconds() {
+        return CONTACT_MILLISECONDS
+                + (long) Math.ceil(longestHoldMilliseconds * SLOWEST_CLOCK)
+                + TIMER_SLACK_MILLISECONDS;
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Ends.java
@@ -0,0 +1,98 @@
+package org.teaselwood.workload.placer;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.message.WorkMessage.EndedTask;
+import org.teaselwood.workload.model.TaskName;
+
+/**
+ * Applies the ends that backend servers list. Confined to the placer's duty thread.
+ *
+ * <p>An end is applied once, in the order of its number, and acknowledged when its effect is stored; until then the
+ * server lists it again, so that no end is lost with a placer.
+ */
+final class Ends {
+    private static final Logger LOGGER = LoggerFactory.getLogger(Ends.class);
+
+    private final Map<String, JobState> jobs;
+    private final JobWrites writes;
+    private final Runs runs;
+
+    Ends(Map<String, JobState> jobs, JobWrites writes, Runs runs) {
+        this.jobs = jobs;
+        this.writes = writes;
+        this.runs = runs;
+    }
+
+    /** Applies one end. */
+    void ended(ServerState server, EndedTask ended, long now) {
+        Optional<TaskName> name = TaskName.parse(ended.task());
+        JobState job = name.map(value -> jobs.get(value.job())).orElse(null);
+        Optional<TaskState> found = job == null ? Optional.empty() : job.task(name.get());
+        if (found.isEmpty()) {
+            LOGGER.warn("end of unknown task {} on {}", ended.task(), server.id);
+            server.endProcessed(ended.number(), null, 0);
+            return;
+        }
+        TaskState task = found.get();
+        StepState step = job.step(task.name.occurrence(), task.name.step()).orElseThrow();
+        LOGGER.info("task {} attempt {} ended {} on {}", ended.task(), ended.attempt(), ended.kind(), server.id);
+        Run run = server.runs.remove(Run.key(ended.task(), ended.attempt()));
+        if (run != null && task.run == run) {
+            task.run = null;
+        }
+        if (ended.attempt() >= task.attempt) {
+            step.saveCheckpoint(task, ended.checkpoint());
+        }
+        if (!job.phase.isFinal() && !task.done) {
+            applyEnd(job, step, task, ended, server, now);
+        }
+        writes.changed(job);
+        server.endProcessed(ended.number(), job, job.version);
+        runs.updatePhase(job, now);
+    }
+
+    private void applyEnd(JobState job, StepState step, TaskState task, EndedTask ended, ServerState server, long now) {
+        switch (ended.kind()) {
+            case DONE -> {
+                server.countSuccess();
+                if (!step.specification.longRunning()) {
+                    List<TaskState> finished = step.gang() ? step.tasks : List.of(task);
+                    finished.forEach(member -> member.done = true);
+                    stopOthers(finished, ended.attempt(), now);
+                }
+            }
+            case FAILED -> {
+                server.countFailure(now);
+                task.failedOn.add(server.id);
+                countFailure(step, task, ended.attempt());
+                runs.breakGang(step, now);
+            }
+            case STOPPED, LAPSED, BROKEN, ALONE -> runs.breakGang(step, now);
+        }
+        if (step.specification.longRunning()) {
+            task.notBefore = now;
+        }
+    }
+
+    /** The ends of a gang count once; every member carries the count so that it is stored with each. */
+    private static void countFailure(StepState step, TaskState task, int attempt) {
+        if (!step.gang()) {
+            task.failures++;
+        } else if (step.failedAttempts.add(attempt)) {
+            step.tasks.forEach(member -> member.failures++);
+        }
+    }
+
+    /** Runs of tasks that are done by an earlier attempt are stopped; those of the same attempt end by themselves. */
+    private void stopOthers(List<TaskState> tasks, int attempt, long now) {
+        tasks.stream()
+                .filter(member -> member.run != null && member.run.attempt != attempt)
+                .map(member -> member.run)
+                .toList()
+                .forEach(run -> runs.stop(run, now));
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
@@ -0,0 +1,65 @@
+package org.teaselwood.workload.placer;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.teaselwood.workload.model.QueueSettings;
+import org.teaselwood.workload.model.WorkloadConfiguration;
+
+/**
+ * Which jobs of priority 0 lie within their team's guarantee, and what may be stopped for them. Immutable after
+ * construction; made for one pass.
+ *
+ * <p>The jobs of a team are counted in the order of their age until the guarantee is used up, so that a late job never
+ * takes the entitlement of an earlier one that already runs.
+ */
+final class Entitlements {
+    private final WorkloadConfiguration configuration;
+    private final Set<JobState> entitled = new HashSet<>();
+
+    Entitlements(Collection<JobState> jobs, WorkloadConfiguration configuration) {
+        this.configuration = configuration;
+        Map<String, Integer> left = new HashMap<>(configuration.guaranteedAccelerators());
+        List<JobState> urgent = jobs.stream()
+                .filter(job -> !job.phase.isFinal() && priority(job) == 0)
+                .sorted(Comparator.comparingLong(job -> job.acceptedRevision))
+                .toList();
+        for (JobState job : urgent) {
+            int need = accelerators(job);
+            int available = left.getOrDefault(job.specification.team(), 0);
+            if (need <= available) {
+                left.put(job.specification.team(), available - need);
+                entitled.add(job);
+            }
+        }
+    }
+
+    boolean isEntitled(JobState job) {
+        return entitled.contains(job);
+    }
+
+    /** Whether a run may be stopped for a job of priority 0. */
+    boolean mayStop(Run run, boolean forEntitledJob) {
+        if (run.step.specification.longRunning()) {
+            return false;
+        }
+        return priority(run.job) > 0 || forEntitledJob && !isEntitled(run.job);
+    }
+
+    private int priority(JobState job) {
+        return configuration
+                .queue(job.specification.queue())
+                .map(QueueSettings::priority)
+                .orElse(Integer.MAX_VALUE);
+    }
+
+    private static int accelerators(JobState job) {
+        return job.specification.steps().stream()
+                .mapToInt(step -> step.count() * step.resources().accelerators())
+                .sum();
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobState.java
@@ -0,0 +1,115 @@
+package org.teaselwood.workload.placer;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.teaselwood.workload.model.JobSpecification;
+import org.teaselwood.workload.model.TaskName;
+import org.teaselwood.workload.record.JobPhase;
+import org.teaselwood.workload.record.JobRecord;
+
+/**
+ * State of one job. Mutable; confined to the placer's duty thread.
+ *
+ * <p>Every change raises the version; an effect that others can see waits until a write of its version is stored.
+ */
+final class JobState {
+    final JobSpecification specification;
+
+    /** Revision of the key-value service at which the job was accepted; orders jobs by age. */
+    final long acceptedRevision;
+
+    final List<StepState> steps;
+    JobPhase phase = JobPhase.QUEUED;
+    boolean cancelRequested;
+
+    /** From the newest configuration that named the queue. */
+    int maximumAttempts = Integer.MAX_VALUE;
+
+    long version;
+    long storedVersion;
+
+    /** Revision of the stored progress, 0 when there is none. */
+    long recordRevision;
+
+    private final Deque<Deferred> afterWrite = new ArrayDeque<>();
+
+    private record Deferred(long version, Runnable action) {}
+
+    JobState(JobSpecification specification, long acceptedRevision) {
+        this.specification = specification;
+        this.acceptedRevision = acceptedRevision;
+        this.steps = IntStream.range(0, Math.max(1, specification.occurrences()))
+                .boxed()
+                .flatMap(occurrence -> IntStream.range(0, specification.steps().size())
+                        .mapToObj(number -> new StepState(
+                                specification.id(),
+                                occurrence,
+                                number,
+                                specification.steps().get(number))))
+                .toList();
+    }
+
+    String id() {
+        return specification.id();
+    }
+
+    Optional<StepState> step(int occurrence, int number) {
+        int width = specification.steps().size();
+        int position = occurrence * width + number;
+        return number >= 0 && number < width && position >= 0 && position < steps.size()
+                ? Optional.of(steps.get(position))
+                : Optional.empty();
+    }
+
+    Optional<TaskState> task(TaskName name) {
+        return step(name.occurrence(), name.step())
+                .filter(step -> name.index() >= 0 && name.index() < step.tasks.size())
+                .map(step -> step.tasks.get(name.index()));
+    }
+
+    /** Whether the step's time has come and the steps before it are done. */
+    boolean ready(StepState step, long wallMilliseconds) {
+        return (!specification.scheduled() || specification.dueMilliseconds(step.occurrence) <= wallMilliseconds)
+                && step.specification.after().stream()
+                        .allMatch(earlier -> step(step.occurrence, earlier)
+                                .map(StepState::done)
+                                .orElse(true));
+    }
+
+    Stream<Run> runs() {
+        return steps.stream()
+                .flatMap(step -> step.tasks.stream())
+                .filter(task -> task.run != null)
+                .map(task -> task.run);
+    }
+
+    /** Runs the action once this version of the job is stored. */
+    void whenStored(Runnable action) {
+        afterWrite.add(new Deferred(version, action));
+    }
+
+    /** A write of the given version was stored. */
+    void stored(long writtenVersion, long revision) {
+        storedVersion = writtenVersion;
+        recordRevision = revision;
+        List<Runnable> actions = new ArrayList<>();
+        while (!afterWrite.isEmpty() && afterWrite.peek().version() <= writtenVersion) {
+            actions.add(afterWrite.poll().action());
+        }
+        actions.forEach(Runnable::run);
+    }
+
+    JobRecord toRecord() {
+        return new JobRecord(
+                phase,
+                steps.stream()
+                        .filter(StepState::started)
+                        .map(StepState::toRecord)
+                        .toList());
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -0,0 +1,167 @@
+package org.teaselwood.workload.placer;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.teaselwood.workload.model.QueueSettings;
+import org.teaselwood.workload.model.WorkloadConfiguration;
+
+/**
+ * One pass over the waiting work. Used once, on the placer's duty thread.
+ *
+ * <p>Jobs are taken by priority, then guaranteed work first, then by age. A step of priority 0 that does not fit stops
+ * other work and keeps the room that becomes free for itself until a limit, because smaller jobs would otherwise take
+ * each piece as it is freed.
+ */
+final class PlacementPass {
+    /** Room that is being freed is kept this long: a stop, its report and the delay of both. */
+    private static final long PLAN_MILLISECONDS = 1_200;
+
+    private final Collection<JobState> jobs;
+    private final Collection<ServerState> servers;
+    private final WorkloadConfiguration configuration;
+    private final Entitlements entitlements;
+    private final Actions actions;
+    private final long now;
+    private final long wall;
+    private final Room room;
+
+    /** What a pass decides. */
+    interface Actions {
+        /** Starts a task. */
+        void start(JobState job, StepState step, TaskState task, ServerState server, int attempt);
+
+        /** Stops a run so that another job gets its room. */
+        void preempt(Run run, JobState beneficiary);
+    }
+
+    PlacementPass(
+            Collection<JobState> jobs,
+            Collection<ServerState> servers,
+            WorkloadConfiguration configuration,
+            Actions actions,
+            long now,
+            long wall) {
+        this.jobs = jobs;
+        this.servers = servers;
+        this.configuration = configuration;
+        this.entitlements = new Entitlements(jobs, configuration);
+        this.actions = actions;
+        this.now = now;
+        this.wall = wall;
+        this.room = new Room(servers, now);
+    }
+
+    private record Candidate(JobState job, QueueSettings queue, boolean entitled) {}
+
+    void run() {
+        jobs.stream()
+                .filter(job -> !job.phase.isFinal())
+                .flatMap(job -> configuration
+                        .queue(job.specification.queue())
+                        .map(queue -> new Candidate(job, queue, entitlements.isEntitled(job)))
+                        .stream())
+                .sorted(Comparator.comparingInt(
+                                (Candidate candidate) -> candidate.queue().priority())
+                        .thenComparingInt(candidate -> candidate.entitled() ? 0 : 1)
+                        .thenComparingLong(candidate -> candidate.job().acceptedRevision))
+                .forEach(this::placeJob);
+    }
+
+    private void placeJob(Candidate candidate) {
+        candidate.job().steps.stream()
+                .filter(step -> !step.done() && candidate.job().ready(step, wall))
+                .forEach(step -> placeStep(candidate, step));
+    }
+
+    private void placeStep(Candidate candidate, StepState step) {
+        if (step.tasks.stream().noneMatch(TaskState::waits)) {
+            step.readySince = 0;
+            return;
+        }
+        if (step.readySince == 0) {
+            step.readySince = now;
+        }
+        boolean placed = step.gang() ? placeGang(candidate, step) : placeEach(candidate, step);
+        if (placed) {
+            step.plan = Map.of();
+        } else if (candidate.queue().priority() == 0) {
+            makeRoom(candidate, step);
+        }
+        room.nextStep();
+    }
+
+    private boolean placeGang(Candidate candidate, StepState step) {
+        boolean allFree = step.tasks.stream().allMatch(task -> task.waits() && task.notBefore <= now);
+        if (!allFree) {
+            return false;
+        }
+        Optional<Map<TaskState, ServerState>> placement =
+                ServerChoice.forGang(room, candidate.queue().service(), step, now);
+        placement.ifPresent(servers -> {
+            int attempt = step.nextAttempt(step.tasks.getFirst());
+            servers.forEach((task, server) -> start(candidate.job(), step, task, server, attempt));
+        });
+        return placement.isPresent();
+    }
+
+    private boolean placeEach(Candidate candidate, StepState step) {
+        List<TaskState> waiting = step.tasks.stream()
+                .filter(task -> task.waits() && task.notBefore <= now)
+                .toList();
+        boolean all = true;
+        for (TaskState task : waiting) {
+            Optional<ServerState> server =
+                    ServerChoice.forTask(room, candidate.queue().service(), step, task, now);
+            if (server.isEmpty()) {
+                all = false;
+                break;
+            }
+            start(candidate.job(), step, task, server.get(), step.nextAttempt(task));
+            room.countForStep(server.get());
+        }
+        return all;
+    }
+
+    private void start(JobState job, StepState step, TaskState task, ServerState server, int attempt) {
+        room.take(server, step.specification.reserved());
+        actions.start(job, step, task, server, attempt);
+    }
+
+    private void makeRoom(Candidate candidate, StepState step) {
+        if (step.gang() && !step.tasks.stream().allMatch(TaskState::waits)) {
+            return;
+        }
+        if (step.plan.isEmpty() || step.planUntil <= now) {
+            step.plan = Map.of();
+            findPlan(candidate, step).ifPresent(plan -> {
+                plan.victims().forEach(run -> actions.preempt(run, candidate.job()));
+                step.plan = plan.room();
+                step.planUntil = now + PLAN_MILLISECONDS;
+            });
+        }
+        servers.stream()
+                .filter(server -> step.plan.containsKey(server.id))
+                .forEach(server -> room.take(server, step.plan.get(server.id)));
+    }
+
+    private Optional<Preemption.Plan> findPlan(Candidate candidate, StepState step) {
+        String service = candidate.queue().service();
+        Predicate<Run> mayStop = run -> entitlements.mayStop(run, candidate.entitled());
+        List<ServerState> all = room.eligible(service, step).toList();
+        Collection<List<ServerState>> groups = List.of(all);
+        if (step.specification.sameRack()) {
+            List<List<ServerState>> holding = room.racks(service, step).values().stream()
+                    .filter(rack -> ServerChoice.couldHold(rack, step))
+                    .toList();
+            groups = holding.isEmpty() ? groups : holding;
+        }
+        return Preemption.cheapest(room, groups, step, mayStop, now)
+                .or(() -> candidate.entitled()
+                        ? Preemption.cheapest(room, List.of(all), step, mayStop, now)
+                        : Optional.empty());
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacerEffects.java
@@ -0,0 +1,26 @@
+package org.teaselwood.workload.placer;
+
+import java.util.List;
+import java.util.Map;
+
+/** What the placer asks of its surroundings. Called on the placer's duty thread. */
+public interface PlacerEffects {
+    /**
+     * One record to write.
+     *
+     * @param expectedRevision revision that the record must have, 0 when it must not exist
+     */
+    record RecordWrite(String job, byte[] value, long expectedRevision) {}
+
+    /**
+     * Writes the records together under the condition that this placer is still the elected one. Exactly one of {@link
+     * WorkPlacer#written}, {@link WorkPlacer#revisionsRead} or {@link WorkPlacer#writeFailed} follows.
+     */
+    void write(List<RecordWrite> writes);
+
+    /** Publishes the number of waiting jobs by queue; may be lost. */
+    void publishPending(Map<String, Integer> pending);
+
+    /** The time of day, in milliseconds since 1970. */
+    long wallMilliseconds();
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Preemption.java
@@ -0,0 +1,126 @@
+package org.teaselwood.workload.placer;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.teaselwood.workload.model.Resources;
+
+/**
+ * Finds the runs whose stop makes room for a step at the least loss of work. Stateless.
+ *
+ * <p>For each group of servers that could hold the step, every task takes the server where the runs to stop lose least;
+ * the group with the least sum wins. Stopping whatever is lowest in priority first would throw away long runs for the
+ * sake of a short one.
+ */
+final class Preemption {
+    /**
+     * Runs to stop and the room that is freed for the step.
+     *
+     * @param room what the step will take, by identifier of the backend server
+     * @param loss work thrown away, in core-seconds
+     */
+    record Plan(Set<Run> victims, Map<String, Resources> room, double loss) {}
+
+    private Preemption() {}
+
+    /** The cheapest plan among the groups of servers, empty when no group has enough that may be stopped. */
+    static Optional<Plan> cheapest(
+            Room room, Collection<List<ServerState>> groups, StepState step, Predicate<Run> mayStop, long now) {
+        List<TaskState> waiting = step.tasks.stream().filter(TaskState::waits).toList();
+        return groups.stream()
+                .map(servers -> plan(room.copy(), servers, step, waiting, mayStop, now))
+                .flatMap(Optional::stream)
+                .min(Comparator.comparingDouble(Plan::loss));
+    }
+
+    private static Optional<Plan> plan(
+            Room room,
+            List<ServerState> servers,
+            StepState step,
+            List<TaskState> waiting,
+            Predicate<Run> mayStop,
+            long now) {
+        Resources each = step.specification.reserved();
+        Set<Run> victims = new LinkedHashSet<>();
+        Map<String, Resources> taken = new LinkedHashMap<>();
+        for (int placed = 0; placed < waiting.size(); placed++) {
+            Optional<Choice> best = servers.stream()
+                    .filter(server -> server.quarantinedUntil <= now)
+                    .map(server -> choose(room, server, each, victims, mayStop, now))
+                    .flatMap(Optional::stream)
+                    .min(Comparator.comparingDouble(Choice::loss));
+            if (best.isEmpty()) {
+                return Optional.empty();
+            }
+            Choice choice = best.get();
+            choice.victims().forEach(run -> addWithGang(run, victims, room));
+            room.take(choice.server(), each);
+            taken.merge(choice.server().id, each, Resources::plus);
+        }
+        double loss =
+                victims.stream().mapToDouble(run -> run.lossIfStopped(now)).sum();
+        return Optional.of(new Plan(victims, taken, loss));
+    }
+
+    private record Choice(ServerState server, List<Run> victims, double loss) {}
+
+    private static Optional<Choice> choose(
+            Room room, ServerState server, Resources each, Set<Run> victims, Predicate<Run> mayStop, long now) {
+        Resources free = room.freeOf(server);
+        List<Run> chosen = new ArrayList<>();
+        List<Run> candidates = server.runs.values().stream()
+                .filter(run -> run.state != RunState.STOPPING && !victims.contains(run))
+                .filter(mayStop)
+                .sorted(Comparator.comparingDouble(run -> lossWithGang(run, now)))
+                .toList();
+        for (Run run : candidates) {
+            if (free.covers(each)) {
+                break;
+            }
+            chosen.add(run);
+            free = free.plus(run.reserved());
+        }
+        if (!free.covers(each)) {
+            return Optional.empty();
+        }
+        // Drops runs that the later, larger ones made unnecessary.
+        for (Run run : List.copyOf(chosen)) {
+            Resources without = free.minus(run.reserved());
+            if (without.covers(each)) {
+                free = without;
+                chosen.remove(run);
+            }
+        }
+        double loss = chosen.stream().mapToDouble(run -> lossWithGang(run, now)).sum();
+        return Optional.of(new Choice(server, chosen, loss));
+    }
+
+    private static double lossWithGang(Run run, long now) {
+        return members(run).stream()
+                .mapToDouble(member -> member.lossIfStopped(now))
+                .sum();
+    }
+
+    private static void addWithGang(Run run, Set<Run> victims, Room room) {
+        members(run).stream()
+                .filter(member -> member.state != RunState.STOPPING)
+                .filter(victims::add)
+                .forEach(member -> room.release(member.server, member.reserved()));
+    }
+
+    private static List<Run> members(Run run) {
+        return run.step.gang()
+                ? run.step.tasks.stream()
+                        .filter(task -> task.run != null)
+                        .map(task -> task.run)
+                        .toList()
+                : List.of(run);
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Restoration.java
@@ -0,0 +1,60 @@
+package org.teaselwood.workload.placer;
+
+import java.util.Map;
+import org.teaselwood.workload.record.StepRecord;
+import org.teaselwood.workload.record.TaskRecord;
+
+/**
+ * Rebuilds the state of jobs from their records after an election. Confined to the placer's duty thread.
+ *
+ * <p>A run on record counts until its backend server has reported under the new term, or until everything on the server
+ * has surely ended; placing it elsewhere at once would run it twice.
+ */
+final class Restoration {
+    private final Map<String, ServerState> servers;
+
+    Restoration(Map<String, ServerState> servers) {
+        this.servers = servers;
+    }
+
+    void restore(JobState job, WorkPlacer.StoredRecord stored, long now) {
+        job.phase = stored.record().phase();
+        job.recordRevision = stored.revision();
+        for (StepRecord stepRecord : stored.record().steps()) {
+            job.step(stepRecord.occurrence(), stepRecord.step())
+                    .filter(step -> step.tasks.size() == stepRecord.tasks().size())
+                    .ifPresent(step -> restoreStep(job, step, stepRecord, now));
+        }
+    }
+
+    private void restoreStep(JobState job, StepState step, StepRecord stepRecord, long now) {
+        for (int index = 0; index < step.tasks.size(); index++) {
+            TaskState task = step.tasks.get(index);
+            TaskRecord taskRecord = stepRecord.tasks().get(index);
+            task.attempt = taskRecord.attempt();
+            task.failures = taskRecord.failures();
+            task.done = taskRecord.done();
+            task.checkpoint = taskRecord.checkpoint();
+            if (!taskRecord.server().isEmpty()) {
+                restoreRun(job, step, task, taskRecord, now);
+            }
+        }
+    }
+
+    private void restoreRun(JobState job, StepState step, TaskState task, TaskRecord taskRecord, long now) {
+        ServerState server =
+                servers.computeIfAbsent(taskRecord.server(), id -> new ServerState(id, taskRecord.serverStart(), now));
+        if (server.start != taskRecord.serverStart()) {
+            // The run belongs to another life of the server; the earlier of the two is over.
+            if (taskRecord.serverStart() < server.start) {
+                return;
+            }
+            server.runs.values().forEach(earlier -> earlier.task.run = null);
+            server = new ServerState(taskRecord.server(), taskRecord.serverStart(), now);
+            servers.put(server.id, server);
+        }
+        Run run = new Run(job, step, task, taskRecord.attempt(), server, RunState.RECOVERED, now);
+        server.runs.put(run.key(), run);
+        task.run = run;
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Room.java
@@ -0,0 +1,94 @@
+package org.teaselwood.workload.placer;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.teaselwood.workload.model.Resources;
+import org.teaselwood.workload.model.StepSpecification;
+import org.teaselwood.workload.model.WorkloadTimings;
+
+/**
+ * Free room of the usable backend servers during one pass. Mutable; confined to one pass.
+ *
+ * <p>Invariant: what is taken here is never more than the server reported, so that a server that accepts everything is
+ * not overloaded.
+ */
+final class Room {
+    private final Map<ServerState, Resources> free = new LinkedHashMap<>();
+    private final Map<ServerState, Integer> takenByStep = new LinkedHashMap<>();
+
+    Room(Collection<ServerState> servers, long now) {
+        servers.stream()
+                .filter(server -> server.usable(now, WorkloadTimings.SUSPECT_MILLISECONDS))
+                .forEach(server -> free.put(server, server.free()));
+    }
+
+    private Room(Map<ServerState, Resources> free, Map<ServerState, Integer> takenByStep) {
+        this.free.putAll(free);
+        this.takenByStep.putAll(takenByStep);
+    }
+
+    /** A copy for trying a placement. */
+    Room copy() {
+        return new Room(free, takenByStep);
+    }
+
+    Resources freeOf(ServerState server) {
+        return free.getOrDefault(server, Resources.NONE);
+    }
+
+    void take(ServerState server, Resources resources) {
+        free.computeIfPresent(server, (key, room) -> room.minus(resources));
+    }
+
+    void release(ServerState server, Resources resources) {
+        free.computeIfPresent(server, (key, room) -> room.plus(resources));
+    }
+
+    /** Counts a task of the step that is being placed, for its limit per server. */
+    void countForStep(ServerState server) {
+        takenByStep.merge(server, 1, Integer::sum);
+    }
+
+    /** Ends the count of {@link #countForStep}. */
+    void nextStep() {
+        takenByStep.clear();
+    }
+
+    /** Servers that may run the step by service, label, limit per server and neighbours, whatever room they have. */
+    Stream<ServerState> eligible(String service, StepState step) {
+        StepSpecification specification = step.specification;
+        return free.keySet().stream()
+                .filter(server -> server.description.service().equals(service))
+                .filter(server -> specification.selector().isEmpty()
+                        || server.description.labels().contains(specification.selector()))
+                .filter(server -> withinLimit(server, step))
+                .filter(server -> server.runs.values().stream().noneMatch(run -> disturbs(run, specification)));
+    }
+
+    /** Racks with their eligible servers, in the order of their names. */
+    Map<String, List<ServerState>> racks(String service, StepState step) {
+        return eligible(service, step)
+                .collect(Collectors.groupingBy(server -> server.description.rack(), TreeMap::new, Collectors.toList()));
+    }
+
+    private boolean withinLimit(ServerState server, StepState step) {
+        int limit = step.specification.maximumPerServer();
+        if (limit == 0) {
+            return true;
+        }
+        long present =
+                server.runs.values().stream().filter(run -> run.step == step).count();
+        return present + takenByStep.getOrDefault(server, 0) < limit;
+    }
+
+    /** Work that fills is kept away from work with a latency target, because its share of the damage is unknown. */
+    private static boolean disturbs(Run run, StepSpecification specification) {
+        return run.step.specification.fills() && specification.latencyTargetMilliseconds() > 0
+                || specification.fills() && run.step.specification.latencyTargetMilliseconds() > 0;
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerChoice.java
@@ -0,0 +1,111 @@
+package org.teaselwood.workload.placer;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaselwood.workload.model.Resources;
+
+/**
+ * Chooses backend servers for tasks. Stateless.
+ *
+ * <p>The fullest server that fits wins (best fit), so that whole servers stay free for gangs that need all their
+ * accelerators; the first that fits would scatter small tasks over all of them. Servers on which tasks failed come
+ * last, because an attempt lost there counts against the job.
+ */
+final class ServerChoice {
+    private ServerChoice() {}
+
+    /** The best server with room for a task. */
+    static Optional<ServerState> forTask(Room room, String service, StepState step, TaskState task, long now) {
+        return room.eligible(service, step)
+                .filter(server -> server.quarantinedUntil <= now)
+                .filter(server -> room.freeOf(server).covers(step.specification.reserved()))
+                .min(preference(room, step, task));
+    }
+
+    /** Servers for all waiting tasks of a gang, empty when they do not fit together. */
+    static Optional<Map<TaskState, ServerState>> forGang(Room room, String service, StepState step, long now) {
+        List<TaskState> members = step.tasks;
+        if (!step.specification.sameRack()) {
+            return pack(room.copy(), room.eligible(service, step).toList(), step, members, now);
+        }
+        Map<String, List<ServerState>> racks = room.racks(service, step);
+        Optional<Map<TaskState, ServerState>> within = racks.values().stream()
+                .sorted(Comparator.comparingInt((List<ServerState> rack) -> isAffine(rack, step) ? 0 : 1)
+                        .thenComparingInt(rack -> rack.stream()
+                                .mapToInt(server -> room.freeOf(server).accelerators())
+                                .sum()))
+                .map(rack -> pack(room.copy(), rack, step, members, now))
+                .flatMap(Optional::stream)
+                .findFirst();
+        if (within.isPresent() || racks.values().stream().anyMatch(rack -> couldHold(rack, step))) {
+            return within;
+        }
+        return pack(room.copy(), room.eligible(service, step).toList(), step, members, now);
+    }
+
+    /** Whether the servers could hold the whole gang if they were empty. */
+    static boolean couldHold(Collection<ServerState> servers, StepState step) {
+        Resources each = step.specification.reserved();
+        int limit =
+                step.specification.maximumPerServer() == 0 ? Integer.MAX_VALUE : step.specification.maximumPerServer();
+        long fitting = servers.stream()
+                .mapToLong(server -> Math.min(limit, fittingTasks(server.capacity(), each)))
+                .sum();
+        return fitting >= step.tasks.size();
+    }
+
+    private static long fittingTasks(Resources room, Resources each) {
+        long fitting = Integer.MAX_VALUE;
+        if (each.milliCores() > 0) {
+            fitting = Math.min(fitting, room.milliCores() / each.milliCores());
+        }
+        if (each.memoryMebibytes() > 0) {
+            fitting = Math.min(fitting, room.memoryMebibytes() / each.memoryMebibytes());
+        }
+        if (each.accelerators() > 0) {
+            fitting = Math.min(fitting, room.accelerators() / each.accelerators());
+        }
+        return fitting;
+    }
+
+    private static boolean isAffine(List<ServerState> rack, StepState step) {
+        return rack.getFirst().description.rack().equals(step.specification.affinityRack());
+    }
+
+    private static Optional<Map<TaskState, ServerState>> pack(
+            Room room, List<ServerState> servers, StepState step, List<TaskState> members, long now) {
+        Map<TaskState, ServerState> placement = new LinkedHashMap<>();
+        Resources each = step.specification.reserved();
+        int limit = step.specification.maximumPerServer();
+        Map<ServerState, Integer> taken = new LinkedHashMap<>();
+        for (TaskState member : members) {
+            Optional<ServerState> chosen = servers.stream()
+                    .filter(server -> server.quarantinedUntil <= now)
+                    .filter(server -> limit == 0 || taken.getOrDefault(server, 0) < limit)
+                    .filter(server -> room.freeOf(server).covers(each))
+                    .min(preference(room, step, member));
+            if (chosen.isEmpty()) {
+                return Optional.empty();
+            }
+            room.take(chosen.get(), each);
+            taken.merge(chosen.get(), 1, Integer::sum);
+            placement.put(member, chosen.get());
+        }
+        return Optional.of(placement);
+    }
+
+    private static Comparator<ServerState> preference(Room room, StepState step, TaskState task) {
+        String rack = step.specification.affinityRack();
+        return Comparator.comparingInt((ServerState server) -> task.failedOn.contains(server.id) ? 1 : 0)
+                .thenComparingInt(
+                        server -> rack.isEmpty() || server.description.rack().equals(rack) ? 0 : 1)
+                .thenComparingInt(server -> (int) Math.round(server.failureScore))
+                .thenComparingInt(server -> room.freeOf(server).accelerators())
+                .thenComparingLong(server -> room.freeOf(server).milliCores())
+                .thenComparing(server -> server.id);
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -0,0 +1,424 @@
+package org.teaselwood.workload.placer;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.protocol.message.WorkMessage.OrderResult;
+import org.teaselwood.protocol.message.WorkMessage.RunningTask;
+import org.teaselwood.protocol.message.WorkMessage.ServerReport;
+import org.teaselwood.workload.model.JobSpecification;
+import org.teaselwood.workload.model.QueueSettings;
+import org.teaselwood.workload.model.Resources;
+import org.teaselwood.workload.model.TaskName;
+import org.teaselwood.workload.model.WorkloadConfiguration;
+import org.teaselwood.workload.model.WorkloadTimings;
+import org.teaselwood.workload.record.JobPhase;
+import org.teaselwood.workload.record.JobRecord;
+
+/**
+ * Decides for all jobs during one term. A state machine without clock, thread or I/O; confined to one duty thread.
+ *
+ * <p>Invariants: a start is sent only after its attempt is stored under this term, so that a placer that was replaced
+ * cannot start anything; an end is acknowledged only after its effect is stored, so that no finished work is repeated;
+ * a run keeps its room until it has surely ended. A placer that kept its state in memory alone would repeat finished
+ * work after every crash.
+ */
+public final class WorkPlacer {
+    private static final Logger LOGGER = LoggerFactory.getLogger(WorkPlacer.class);
+
+    /** A task that the server could not take is placed again after this time. */
+    private static final long REFUSED_PAUSE_MILLISECONDS = 200;
+
+    /** A write without an answer is repeated after this time. */
+    private static final long WRITE_RETRY_MILLISECONDS = 100;
+
+    /** The number of waiting jobs is published at least this often, so that readers can see its age. */
+    private static final long PENDING_MILLISECONDS = 1_000;
+
+    /** Due times and pauses are looked at this often when nothing else has changed. */
+    private static final long PASS_MILLISECONDS = 100;
+
+    /** A task whose progress stands still this long is moved; progress is reported in whole percents. */
+    private static final long STALL_MILLISECONDS = 4_000;
+
+    private final long term;
+    private final WorkloadTimings timings;
+    private final PlacerEffects effects;
+    private final JobWrites writes;
+    private final Runs runs;
+    private final Ends ends;
+    private final Restoration restoration;
+    private final Map<String, JobState> jobs = new LinkedHashMap<>();
+    private final Map<String, ServerState> servers = new TreeMap<>();
+    private WorkloadConfiguration configuration;
+    private long pendingPublishedAt;
+    private long passedAt;
+
+    /** A placer that has just been elected. */
+    public WorkPlacer(long term, WorkloadTimings timings, WorkloadConfiguration configuration, PlacerEffects effects) {
+        this.term = term;
+        this.timings = timings;
+        this.configuration = configuration;
+        this.effects = effects;
+        this.writes = new JobWrites(effects);
+        this.runs = new Runs(term, writes);
+        this.ends = new Ends(jobs, writes, runs);
+        this.restoration = new Restoration(servers);
+    }
+
+    /** The term of this placer. */
+    public long term() {
+        return term;
+    }
+
+    /**
+     * A job was accepted, now or under an earlier placer.
+     *
+     * @param record its stored progress
+     */
+    public void jobAccepted(JobSpecification specification, long revision, Optional<StoredRecord> record, long now) {
+        if (jobs.containsKey(specification.id())) {
+            return;
+        }
+        JobState job = new JobState(specification, revision);
+        jobs.put(job.id(), job);
+        updateMaximumAttempts(job);
+        record.ifPresent(stored -> restoration.restore(job, stored, now));
+        runs.markChanged();
+    }
+
+    /** Stored progress with its revision. Immutable. */
+    public record StoredRecord(JobRecord record, long revision) {}
+
+    /** A caller cancelled a job. */
+    public void jobCancelled(String id, long now) {
+        JobState job = jobs.get(id);
+        if (job != null && !job.cancelRequested) {
+            job.cancelRequested = true;
+            if (!job.phase.isFinal()) {
+                LOGGER.info("job {} cancelled by its caller", id);
+                runs.finish(job, JobPhase.CANCELLED, now);
+            }
+        }
+    }
+
+    /** A newer configuration is in force. */
+    public void configurationChanged(WorkloadConfiguration newConfiguration) {
+        configuration = newConfiguration;
+        jobs.values().forEach(this::updateMaximumAttempts);
+        runs.markChanged();
+    }
+
+    /** An agent reported the state of its backend server. */
+    public void report(AgentConnection connection, ServerReport report, long now) {
+        Optional<ServerState> found = serverOf(report, now);
+        if (found.isEmpty()) {
+            return;
+        }
+        ServerState server = found.get();
+        boolean reconnected = server.connection != connection;
+        server.connection = connection;
+        server.description = report.description();
+        server.heardAt = now;
+        server.responsive = report.responsive();
+        if (server.draining != report.draining()) {
+            LOGGER.info("backend server {} draining={}", server.id, report.draining());
+            server.draining = report.draining();
+        }
+        if (report.term() == term) {
+            report.ended().stream()
+                    .filter(ended -> ended.number() > server.processedEnds)
+                    .forEach(ended -> ends.ended(server, ended, now));
+            reconcile(server, report, now);
+            if (reconnected) {
+                repeatOrders(server);
+            }
+        }
+        connection.send(new WorkMessage.Contact(
+                term, report.sentMilliseconds(), server.id, server.start, server.acknowledgedEnds));
+        runs.markChanged();
+    }
+
+    /** An agent answered an order. */
+    public void orderAnswered(OrderResult result, long now) {
+        ServerState server = servers.get(result.server());
+        if (server == null || server.start != result.start()) {
+            return;
+        }
+        Run run = server.runs.get(Run.key(result.task(), result.attempt()));
+        if (run == null) {
+            return;
+        }
+        switch (result.outcome()) {
+            case STARTED, SUPERSEDED -> {
+                if (run.state == RunState.ORDERED) {
+                    run.state = RunState.RUNNING;
+                    run.startedAt = now;
+                    run.progressAt = now;
+                    run.confirmedOperation = result.operation();
+                }
+            }
+            case STOPPED -> run.confirmedOperation = result.operation();
+            case NO_ROOM, UNAVAILABLE, REFUSED -> {
+                LOGGER.info(
+                        "task {} attempt {} refused by {}: {}",
+                        run.task.name,
+                        run.attempt,
+                        server.id,
+                        result.outcome());
+                if (run.state == RunState.ORDERED) {
+                    server.countFailure(now);
+                    run.task.notBefore = now + REFUSED_PAUSE_MILLISECONDS;
+                    runs.remove(run, now);
+                }
+            }
+            case UNCERTAIN -> runs.stop(run, now);
+        }
+        runs.markChanged();
+    }
+
+    /** A backend server said that it has left. */
+    public void serverLeft(String id, long start, long now) {
+        ServerState server = servers.get(id);
+        if (server != null && server.start == start) {
+            loseServer(server, "it has left", now);
+        }
+    }
+
+    /** The connection of an agent is closed. */
+    public void disconnected(AgentConnection connection) {
+        servers.values().stream()
+                .filter(server -> server.connection == connection)
+                .forEach(server -> {
+                    server.connection = null;
+                    LOGGER.info("lost the agent of backend server {}", server.id);
+                });
+    }
+
+    /** The last write took effect. */
+    public void written(long revision) {
+        writes.written(revision);
+        servers.values().stream()
+                .filter(ServerState::acknowledgeStored)
+                .filter(server -> server.connection != null)
+                .forEach(server -> server.connection.send(
+                        new WorkMessage.Contact(term, 0, server.id, server.start, server.acknowledgedEnds)));
+    }
+
+    /** A record had another revision than expected; these are the present ones. */
+    public void revisionsRead(Map<String, Long> revisions) {
+        writes.revisionsRead(revisions);
+    }
+
+    /** Whether the last write took effect is not known. */
+    public void writeFailed(long now) {
+        writes.failed(now + WRITE_RETRY_MILLISECONDS);
+    }
+
+    /** Does what is due; called after each batch of events and at least every tick. */
+    public void advance(long now) {
+        servers.values().stream()
+                .filter(server -> now - server.heardAt > timings.lostAfterMilliseconds())
+                .toList()
+                .forEach(server -> loseServer(server, "its agent is silent", now));
+        if (configuration != null) {
+            breakIncompleteGangs(now);
+            moveStalledRuns(now);
+            if (runs.takeChanged() || now - passedAt >= PASS_MILLISECONDS) {
+                passedAt = now;
+                new PlacementPass(
+                                jobs.values(),
+                                servers.values(),
+                                configuration,
+                                new PassActions(now),
+                                now,
+                                effects.wallMilliseconds())
+                        .run();
+            }
+            publishPending(now);
+        }
+        writes.flush(now);
+    }
+
+    /** Identifiers of the jobs that are not final. */
+    public Set<String> openJobs() {
+        return jobs.values().stream()
+                .filter(job -> !job.phase.isFinal())
+                .map(JobState::id)
+                .collect(Collectors.toSet());
+    }
+
+    private final class PassActions implements PlacementPass.Actions {
+        private final long now;
+
+        PassActions(long now) {
+            this.now = now;
+        }
+
+        @Override
+        public void start(JobState job, StepState step, TaskState task, ServerState server, int attempt) {
+            runs.start(job, step, task, server, attempt, now);
+        }
+
+        @Override
+        public void preempt(Run run, JobState beneficiary) {
+            LOGGER.info("task {} attempt {} stopped for job {}", run.task.name, run.attempt, beneficiary.id());
+            runs.stop(run, now);
+        }
+    }
+
+    private Optional<ServerState> serverOf(ServerReport report, long now) {
+        String id = report.description().server();
+        long start = report.description().start();
+        ServerState known = servers.get(id);
+        if (known != null && known.start > start) {
+            return Optional.empty();
+        }
+        if (known != null && known.start < start) {
+            loseServer(known, "it has started again", now);
+            known = null;
+        }
+        if (known == null) {
+            known = new ServerState(id, start, now);
+            servers.put(id, known);
+            LOGGER.info(
+                    "backend server {} joined, service {}",
+                    id,
+                    report.description().service());
+        }
+        return Optional.of(known);
+    }
+
+    private void reconcile(ServerState server, ServerReport report, long now) {
+        Map<String, RunningTask> running = report.running().stream()
+                .collect(Collectors.toMap(task -> Run.key(task.task(), task.attempt()), task -> task, (a, b) -> a));
+        server.strayRuns.clear();
+        running.forEach((key, task) -> {
+            Run run = server.runs.get(key);
+            if (run == null) {
+                strayRun(server, key, task);
+            } else {
+                observe(run, task, report.operation(), now);
+            }
+        });
+        List<Run> missing = server.runs.values().stream()
+                .filter(run -> !running.containsKey(run.key()))
+                .filter(run -> run.state == RunState.RECOVERED
+                        || run.confirmedOperation >= 0 && report.operation() > run.confirmedOperation)
+                .toList();
+        missing.forEach(run -> {
+            LOGGER.info("task {} attempt {} is not on {} any more", run.task.name, run.attempt, server.id);
+            runs.remove(run, now);
+        });
+        server.reconciled = true;
+    }
+
+    private void strayRun(ServerState server, String key, RunningTask task) {
+        Resources taken = TaskName.parse(task.task())
+                .flatMap(name -> Optional.ofNullable(jobs.get(name.job()))
+                        .flatMap(job -> job.step(name.occurrence(), name.step())))
+                .map(step -> step.specification.reserved())
+                .orElse(Resources.NONE);
+        server.strayRuns.put(key, taken);
+        LOGGER.warn("task {} attempt {} on {} does not count; stopping it", task.task(), task.attempt(), server.id);
+        runs.sendStop(server, task.task(), task.attempt());
+    }
+
+    private void observe(Run run, RunningTask task, long operation, long now) {
+        run.step.saveCheckpoint(run.task, task.checkpoint());
+        if (task.percent() != run.percent) {
+            run.percent = task.percent();
+            run.progressAt = now;
+        }
+        if (run.state == RunState.ORDERED || run.state == RunState.RECOVERED) {
+            run.state = RunState.RUNNING;
+            run.progressAt = now;
+            run.confirmedOperation = operation;
+            if (run.job.phase.isFinal() && run.job.phase != JobPhase.COMPLETED) {
+                runs.stop(run, now);
+            }
+        }
+    }
+
+    private void repeatOrders(ServerState server) {
+        server.runs.values().forEach(run -> {
+            run.confirmedOperation = run.state == RunState.RUNNING ? 0 : run.confirmedOperation;
+            if (run.state == RunState.ORDERED) {
+                runs.sendStart(run);
+            } else if (run.state == RunState.STOPPING) {
+                run.confirmedOperation = -1;
+                runs.sendStop(server, run.task.name.toString(), run.attempt);
+            }
+        });
+    }
+
+    private void loseServer(ServerState server, String reason, long now) {
+        LOGGER.info("backend server {} is gone with {} runs: {}", server.id, server.runs.size(), reason);
+        servers.remove(server.id);
+        List.copyOf(server.runs.values()).forEach(run -> runs.remove(run, now));
+        runs.markChanged();
+    }
+
+    /** A member that waits for the others ends by itself after the gang wait, so an incomplete gang is stopped before. */
+    private void breakIncompleteGangs(long now) {
+        long limit = timings.gangWaitMilliseconds() / 2;
+        servers.values().stream()
+                .flatMap(server -> server.runs.values().stream())
+                .filter(run -> run.step.gang() && run.state == RunState.ORDERED && now - run.createdAt > limit)
+                .toList()
+                .forEach(run -> {
+                    LOGGER.info("gang of task {} is incomplete after {} ms", run.task.name, limit);
+                    runs.stop(run, now);
+                });
+    }
+
+    private void moveStalledRuns(long now) {
+        servers.values().stream()
+                .flatMap(server -> server.runs.values().stream())
+                .filter(run -> run.state == RunState.RUNNING
+                        && !run.step.specification.longRunning()
+                        && now - run.progressAt > STALL_MILLISECONDS
+                        && now - run.server.heardAt < WorkloadTimings.SUSPECT_MILLISECONDS)
+                .toList()
+                .forEach(run -> {
+                    LOGGER.info(
+                            "task {} attempt {} on {} stands still at {} percent",
+                            run.task.name,
+                            run.attempt,
+                            run.server.id,
+                            run.percent);
+                    run.server.countFailure(now);
+                    run.task.failedOn.add(run.server.id);
+                    runs.stop(run, now);
+                });
+    }
+
+    private void updateMaximumAttempts(JobState job) {
+        if (configuration != null) {
+            configuration
+                    .queue(job.specification.queue())
+                    .map(QueueSettings::maximumAttempts)
+                    .ifPresent(maximum -> job.maximumAttempts = maximum);
+        }
+    }
+
+    private void publishPending(long now) {
+        if (now - pendingPublishedAt < PENDING_MILLISECONDS) {
+            return;
+        }
+        pendingPublishedAt = now;
+        Map<String, Integer> pending = new TreeMap<>();
+        configuration.queues().keySet().forEach(queue -> pending.put(queue, 0));
+        jobs.values().stream()
+                .filter(job -> job.phase == JobPhase.QUEUED)
+                .forEach(job -> pending.merge(job.specification.queue(), 1, Integer::sum));
+        effects.publishPending(pending);
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/package-info.java
@@ -0,0 +1,2 @@
+/** The decisions of the one placer: job states, placement, preemption, recovery. */
+package org.teaselwood.workload.placer;
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/StepRecord.java
@@ -0,0 +1,17 @@
+package org.teaselwood.workload.record;
+
+import java.util.List;
+
+/**
+ * Stored progress of one step of one occurrence. Immutable.
+ *
+ * @param occurrence occurrence, from 0
+ * @param step number of the step, from 0
+ * @param tasks progress of its tasks in order
+ */
+public record StepRecord(int occurrence, int step, List<TaskRecord> tasks) {
+    /** Copies the list. */
+    public StepRecord {
+        tasks = List.copyOf(tasks);
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -0,0 +1,179 @@
+package org.teaselwood.workload.record;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.teaselwood.model.ErrorKind;
+import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.workload.model.JobSpecification;
+import org.teaselwood.workload.model.Resources;
+import org.teaselwood.workload.model.StepSpecification;
+
+/**
+ * JSON form of the stored records. Stateless. JSON is used because operators read these values when they look for the
+ * cause of a failure.
+ *
+ * <p>Decoding fails with BAD_FRAME for anything but a record that this class wrote.
+ */
+public final class WorkloadJson {
+    private WorkloadJson() {}
+
+    /** Encodes an accepted job. */
+    public static byte[] encode(JobSpecification job) {
+        JsonArray steps = new JsonArray();
+        job.steps().forEach(step -> steps.add(stepJson(step)));
+        return new JsonObject()
+                .put("queue", job.queue())
+                .put("team", job.team())
+                .put("payload", job.payload())
+                .put("startAt", job.startAtMilliseconds())
+                .put("interval", job.intervalMilliseconds())
+                .put("occurrences", job.occurrences())
+                .put("steps", steps)
+                .toBuffer()
+                .getBytes();
+    }
+
+    /** Decodes an accepted job. */
+    public static JobSpecification decodeJob(String id, byte[] value) {
+        return decode(
+                value,
+                json -> new JobSpecification(
+                        id,
+                        json.getString("queue"),
+                        json.getString("team"),
+                        json.getString("payload"),
+                        objects(json.getJsonArray("steps"))
+                                .map(WorkloadJson::step)
+                                .toList(),
+                        json.getLong("startAt"),
+                        json.getLong("interval"),
+                        json.getInteger("occurrences")));
+    }
+
+    /** Encodes the progress of a job. */
+    public static byte[] encode(JobRecord job) {
+        JsonArray steps = new JsonArray();
+        for (StepRecord step : job.steps()) {
+            JsonArray tasks = new JsonArray();
+            step.tasks()
+                    .forEach(task -> tasks.add(new JsonArray()
+                            .add(task.attempt())
+                            .add(task.failures())
+                            .add(task.done())
+                            .add(task.server())
+                            .add(task.serverStart())
+                            .add(task.checkpoint())));
+            steps.add(new JsonObject()
+                    .put("occurrence", step.occurrence())
+                    .put("step", step.step())
+                    .put("tasks", tasks));
+        }
+        return new JsonObject()
+                .put("phase", job.phase().name())
+                .put("steps", steps)
+                .toBuffer()
+                .getBytes();
+    }
+
+    /** Decodes the progress of a job. */
+    public static JobRecord decodeRecord(byte[] value) {
+        return decode(
+                value,
+                json -> new JobRecord(
+                        JobPhase.valueOf(json.getString("phase")),
+                        objects(json.getJsonArray("steps"))
+                                .map(WorkloadJson::stepRecord)
+                                .toList()));
+    }
+
+    /** Encodes the number of waiting jobs by queue. */
+    public static byte[] encodePending(Map<String, Integer> pending) {
+        JsonObject json = new JsonObject();
+        pending.forEach(json::put);
+        return json.toBuffer().getBytes();
+    }
+
+    /** Decodes the number of waiting jobs by queue. */
+    public static Map<String, Integer> decodePending(byte[] value) {
+        return decode(
+                value,
+                json -> json.fieldNames().stream()
+                        .collect(java.util.stream.Collectors.toMap(name -> name, json::getInteger)));
+    }
+
+    private static JsonObject stepJson(StepSpecification step) {
+        return new JsonObject()
+                .put("count", step.count())
+                .put("milliCores", step.resources().milliCores())
+                .put("memory", step.resources().memoryMebibytes())
+                .put("accelerators", step.resources().accelerators())
+                .put("estimate", step.estimateMilliseconds())
+                .put("after", new JsonArray(step.after()))
+                .put("checkpointing", step.checkpointing())
+                .put("gang", step.gang())
+                .put("sameRack", step.sameRack())
+                .put("selector", step.selector())
+                .put("affinityRack", step.affinityRack())
+                .put("maximumPerServer", step.maximumPerServer())
+                .put("longRunning", step.longRunning())
+                .put("fills", step.fills())
+                .put("latencyTarget", step.latencyTargetMilliseconds())
+                .put("mayMiss", step.mayMiss());
+    }
+
+    private static StepSpecification step(JsonObject json) {
+        JsonArray after = json.getJsonArray("after");
+        return new StepSpecification(
+                json.getInteger("count"),
+                new Resources(json.getLong("milliCores"), json.getLong("memory"), json.getInteger("accelerators")),
+                json.getLong("estimate"),
+                IntStream.range(0, after.size()).mapToObj(after::getInteger).toList(),
+                json.getBoolean("checkpointing"),
+                json.getBoolean("gang"),
+                json.getBoolean("sameRack"),
+                json.getString("selector"),
+                json.getString("affinityRack"),
+                json.getInteger("maximumPerServer"),
+                json.getBoolean("longRunning"),
+                json.getBoolean("fills"),
+                json.getLong("latencyTarget"),
+                json.getInteger("mayMiss"));
+    }
+
+    private static StepRecord stepRecord(JsonObject json) {
+        JsonArray tasks = json.getJsonArray("tasks");
+        List<TaskRecord> records = IntStream.range(0, tasks.size())
+                .mapToObj(tasks::getJsonArray)
+                .map(task -> new TaskRecord(
+                        task.getInteger(0),
+                        task.getInteger(1),
+                        task.getBoolean(2),
+                        task.getString(3),
+                        task.getLong(4),
+                        task.getString(5)))
+                .toList();
+        return new StepRecord(json.getInteger("occurrence"), json.getInteger("step"), records);
+    }
+
+    private static Stream<JsonObject> objects(JsonArray array) {
+        return IntStream.range(0, array.size()).mapToObj(array::getJsonObject);
+    }
+
+    private static <T> T decode(byte[] value, java.util.function.Function<JsonObject, T> reader) {
+        try {
+            return reader.apply(new JsonObject(Buffer.buffer(value)));
+        } catch (DecodeException
+                | ClassCastException
+                | NullPointerException
+                | IllegalArgumentException
+                | IndexOutOfBoundsException exception) {
+            throw TeaselwoodException.causedBy(exception, ErrorKind.BAD_FRAME, String.valueOf(exception.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/package-info.java
@@ -0,0 +1,2 @@
+/** Keys and JSON values of what outlives every process. */
+package org.teaselwood.workload.record;
