--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -24,8 +24,8 @@
  * <p>It renews the lease of everything that runs while its placer answers its reports, or while the store confirms that
  * no placer is elected; it carries out orders and repeats them until the server has answered. Invariants: after a
  * placer was elected, a lease is renewed at most {@link WorkloadTimings#CONTACT_MILLISECONDS} without an answer of that
- * placer, so that the placer knows when the runs of a silent agent have ended; an order of a lower term than the highest
- * seen is dropped; a server that is draining is given nothing.
+ * placer, so that the placer knows when the runs of a silent agent have ended; an order of an older term is dropped;
+ * a server that is draining is given nothing.
  */
 public final class WorkAgent {
     private static final Logger LOGGER = LoggerFactory.getLogger(WorkAgent.class);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
@@ -24,8 +24,9 @@
  * What callers ask of any entry. Thread-safe.
  *
  * <p>Everything is read from and written to the key-value service, so that every entry gives the same answer whether or
- * not it can reach the placer. Accepting a job is one write on condition that its key does not exist; a write without an
- * answer is repeated, because the condition makes the repetition harmless.
+ * not it can reach the placer. Accepting a job is one write on condition that its key does not exist; a write without
+ * an
+ * answer is repeated, which its condition makes harmless.
  */
 public final class JobDesk {
     private static final Logger LOGGER = LoggerFactory.getLogger(JobDesk.class);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -55,7 +55,9 @@
 
     void offer(PlacerEvent event) {
         if (!thread.offer(event)) {
-            LOGGER.error("the ring of the placer is full; dropped {}", event.getClass().getSimpleName());
+            LOGGER.error(
+                    "the ring of the placer is full; dropped {}",
+                    event.getClass().getSimpleName());
         }
     }
 
@@ -82,12 +84,12 @@
             case PlacerEvent.Received received -> withPlacer(running -> received(running, received, now));
             case PlacerEvent.Disconnected disconnected ->
                 withPlacer(running -> running.disconnected(disconnected.connection()));
-            case PlacerEvent.Written written when written.term() == term ->
-                withPlacer(running -> running.written(written.revision()));
-            case PlacerEvent.RevisionsRead read when read.term() == term ->
-                withPlacer(running -> running.revisionsRead(read.revisions()));
-            case PlacerEvent.WriteFailed failed when failed.term() == term ->
-                withPlacer(running -> running.writeFailed(now));
+            case PlacerEvent.Written written
+            when written.term() == term -> withPlacer(running -> running.written(written.revision()));
+            case PlacerEvent.RevisionsRead read
+            when read.term() == term -> withPlacer(running -> running.revisionsRead(read.revisions()));
+            case PlacerEvent.WriteFailed failed
+            when failed.term() == term -> withPlacer(running -> running.writeFailed(now));
             case PlacerEvent outdated -> LOGGER.debug("ignored {}", outdated);
         }
         withPlacer(running -> running.advance(now));
@@ -188,7 +190,8 @@
                 .forEach(item -> request(placer, item, progress, now));
         early.forEach(item -> request(placer, item, progress, now));
         early.clear();
-        LOGGER.info("placer of term {} loaded {} requests", term, loaded.requests().size());
+        LOGGER.info(
+                "placer of term {} loaded {} requests", term, loaded.requests().size());
     }
 
     /** One unreadable value must not keep the others from being served. */
@@ -228,7 +231,8 @@
             case WorkMessage.ServerReport report -> running.report(connection, report, now);
             case WorkMessage.OrderResult result -> running.orderAnswered(result, now);
             case WorkMessage.ServerLeft left -> running.serverLeft(left.server(), left.start(), now);
-            case WorkMessage order -> LOGGER.warn("ignored {} from an agent", order.getClass().getSimpleName());
+            case WorkMessage order ->
+                LOGGER.warn("ignored {} from an agent", order.getClass().getSimpleName());
         }
     }
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
@@ -169,9 +169,7 @@
     }
 
     private boolean isOwn(KeyValue item) {
-        return PlacerLink.decode(item)
-                .filter(found -> isCandidate(found))
-                .isPresent();
+        return PlacerLink.decode(item).filter(found -> isCandidate(found)).isPresent();
     }
 
     private boolean isCandidate(PlacerLocation found) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/StepSpecification.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/StepSpecification.java
@@ -7,7 +7,7 @@
  *
  * @param count number of tasks
  * @param resources what each task takes
- * @param estimateMilliseconds the submitter's estimate of a task's run time; never trusted for a decision that must hold
+ * @param estimateMilliseconds the submitter's estimate of a task's run time; no decision trusts it
  * @param after numbers of the steps that must be done first
  * @param checkpointing whether a task saves its progress
  * @param gang whether the tasks only work together
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Ends.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Ends.java
@@ -71,7 +71,7 @@
                 countFailure(step, task, ended.attempt());
                 runs.breakGang(step, now);
             }
-            case STOPPED, LAPSED, BROKEN, ALONE -> runs.breakGang(step, now);
+            default -> runs.breakGang(step, now);
         }
         if (step.specification.longRunning()) {
             task.notBefore = now;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
@@ -91,7 +91,7 @@
                     breakGang(run.step, now);
                 }
             }
-            case STOPPING -> LOGGER.debug("task {} is being stopped already", run.task.name);
+            default -> LOGGER.debug("task {} is being stopped already", run.task.name);
         }
     }
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -179,7 +179,7 @@
                     runs.remove(run, now);
                 }
             }
-            case UNCERTAIN -> runs.stop(run, now);
+            default -> runs.stop(run, now); // UNCERTAIN
         }
         runs.markChanged();
     }
@@ -366,7 +366,7 @@
         runs.markChanged();
     }
 
-    /** A member that waits for the others ends by itself after the gang wait, so an incomplete gang is stopped before. */
+    /** A lone member ends by itself after the gang wait, so an incomplete gang is stopped before. */
     private void breakIncompleteGangs(long now) {
         long limit = timings.gangWaitMilliseconds() / 2;
         servers.values().stream()
--- /dev/null
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -0,0 +1,179 @@
+package org.teaselwood.workload.placer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToLongFunction;
+import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.protocol.message.WorkMessage.EndKind;
+import org.teaselwood.protocol.message.WorkMessage.EndedTask;
+import org.teaselwood.protocol.message.WorkMessage.OrderOutcome;
+import org.teaselwood.protocol.message.WorkMessage.RunningTask;
+import org.teaselwood.protocol.message.WorkMessage.ServerDescription;
+import org.teaselwood.workload.model.Resources;
+
+/**
+ * A backend server with its agent, in virtual time. It starts whatever it is told and records when it is overloaded.
+ * Confined to one thread.
+ */
+final class FakeServer {
+    private static final int REPORT_MILLISECONDS = 500;
+
+    final ServerDescription description;
+    final Map<String, Long> running = new LinkedHashMap<>();
+    final List<EndedTask> ended = new ArrayList<>();
+    final List<WorkMessage.StartTask> starts = new ArrayList<>();
+
+    /** Whether the agent and the placer can reach each other. */
+    boolean connected = true;
+
+    boolean draining;
+
+    /** Whether orders are answered; an unanswered start takes effect all the same. */
+    boolean answersOrders = true;
+
+    /** How the runs of this server end. */
+    EndKind endKind = EndKind.DONE;
+
+    /** Runs that make no progress. */
+    boolean hangs;
+
+    long term;
+    private final ToLongFunction<String> workMilliseconds;
+    private final Map<String, Integer> highestStopped = new HashMap<>();
+    private final List<WorkMessage> outbox = new ArrayList<>();
+    private AgentConnection connection;
+    private long nextReport;
+    private long endNumber;
+    private long operation;
+    private long now;
+
+    FakeServer(String id, long start, String rack, Resources capacity, ToLongFunction<String> workMilliseconds) {
+        this.description = new ServerDescription(
+                id,
+                start,
+                "service",
+                "centre",
+                rack,
+                List.of("kind", rack),
+                capacity.milliCores(),
+                capacity.memoryMebibytes(),
+                capacity.accelerators());
+        this.workMilliseconds = workMilliseconds;
+    }
+
+    /** Connects to a placer and reports at once. */
+    void connect(long newTerm) {
+        term = newTerm;
+        nextReport = 0;
+        connection = new AgentConnection() {
+            @Override
+            public void send(WorkMessage message) {
+                if (connected) {
+                    received(message);
+                }
+            }
+
+            @Override
+            public void close() {
+                connected = false;
+            }
+        };
+    }
+
+    /** Advances to a time and hands what the agent sends to the placer. */
+    void advance(long newNow, WorkPlacer placer) {
+        now = newNow;
+        List.copyOf(running.entrySet()).stream()
+                .filter(run -> !hangs && run.getValue() + workOf(run.getKey()) <= now)
+                .forEach(run -> end(run.getKey(), endKind));
+        if (!connected || connection == null) {
+            return;
+        }
+        if (now >= nextReport) {
+            report();
+        }
+        List<WorkMessage> messages = List.copyOf(outbox);
+        outbox.clear();
+        messages.forEach(message -> {
+            switch (message) {
+                case WorkMessage.ServerReport report -> placer.report(connection, report, now);
+                case WorkMessage.OrderResult result -> placer.orderAnswered(result, now);
+                default -> throw new AssertionError(message);
+            }
+        });
+    }
+
+    /** Ends everything, as when the lease has run out. */
+    void lapse() {
+        List.copyOf(running.keySet()).forEach(key -> end(key, EndKind.LAPSED));
+    }
+
+    private long workOf(String key) {
+        return workMilliseconds.applyAsLong(key.substring(0, key.indexOf('#')));
+    }
+
+    private void end(String key, EndKind kind) {
+        running.remove(key);
+        int split = key.indexOf('#');
+        ended.add(new EndedTask(
+                ++endNumber, key.substring(0, split), Integer.parseInt(key.substring(split + 1)), kind, ""));
+        nextReport = 0;
+    }
+
+    private void report() {
+        nextReport = now + REPORT_MILLISECONDS;
+        List<RunningTask> tasks = running.entrySet().stream()
+                .map(run -> {
+                    int split = run.getKey().indexOf('#');
+                    int percent = hangs ? 0 : (int) ((now - run.getValue()) * 100 / workOf(run.getKey()));
+                    return new RunningTask(
+                            run.getKey().substring(0, split),
+                            Integer.parseInt(run.getKey().substring(split + 1)),
+                            "",
+                            percent);
+                })
+                .toList();
+        outbox.add(new WorkMessage.ServerReport(
+                description, term, draining, true, now, ++operation, tasks, List.copyOf(ended)));
+    }
+
+    private void received(WorkMessage message) {
+        switch (message) {
+            case WorkMessage.StartTask order -> start(order);
+            case WorkMessage.StopTask order -> stop(order);
+            case WorkMessage.Contact contact -> ended.removeIf(end -> end.number() <= contact.acknowledged());
+            default -> throw new AssertionError(message);
+        }
+    }
+
+    private void start(WorkMessage.StartTask order) {
+        starts.add(order);
+        String key = order.task() + "#" + order.attempt();
+        if (highestStopped.getOrDefault(order.task(), 0) >= order.attempt()) {
+            answer(order.task(), order.attempt(), OrderOutcome.SUPERSEDED);
+            return;
+        }
+        running.putIfAbsent(key, now);
+        if (answersOrders) {
+            answer(order.task(), order.attempt(), OrderOutcome.STARTED);
+        }
+    }
+
+    private void stop(WorkMessage.StopTask order) {
+        highestStopped.merge(order.task(), order.attempt(), Math::max);
+        String key = order.task() + "#" + order.attempt();
+        if (running.containsKey(key)) {
+            end(key, EndKind.STOPPED);
+        }
+        answer(order.task(), order.attempt(), OrderOutcome.STOPPED);
+        nextReport = 0;
+    }
+
+    private void answer(String task, int attempt, OrderOutcome outcome) {
+        outbox.add(new WorkMessage.OrderResult(
+                description.server(), description.start(), task, attempt, outcome, ++operation));
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -0,0 +1,183 @@
+package org.teaselwood.workload.placer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.teaselwood.workload.model.JobSpecification;
+import org.teaselwood.workload.model.QueueSettings;
+import org.teaselwood.workload.model.Resources;
+import org.teaselwood.workload.model.StepSpecification;
+import org.teaselwood.workload.model.WorkloadConfiguration;
+import org.teaselwood.workload.model.WorkloadTimings;
+import org.teaselwood.workload.record.JobPhase;
+import org.teaselwood.workload.record.WorkloadJson;
+
+/**
+ * A placer, its store and its backend servers in virtual time, with steps of ten milliseconds. Confined to one thread.
+ */
+final class PlacerScenario implements PlacerEffects {
+    static final Resources SERVER = new Resources(32_000, 131_072, 8);
+    static final WorkloadTimings TIMINGS = new WorkloadTimings(6_000, 3_000, 200);
+    private static final long STEP_MILLISECONDS = 10;
+
+    final Map<String, FakeServer> servers = new TreeMap<>();
+    final Map<String, StoredValue> store = new HashMap<>();
+    final Map<String, JobSpecification> accepted = new TreeMap<>();
+    final Map<String, Long> work = new HashMap<>();
+    Map<String, Integer> pending = Map.of();
+
+    /** Whether writes reach the store. */
+    boolean storeAnswers = true;
+
+    WorkPlacer placer;
+    long now = 1_000;
+    private long term;
+    private long revision = 100;
+    private final List<Runnable> due = new ArrayList<>();
+    private WorkloadConfiguration configuration = new WorkloadConfiguration(
+            1,
+            Map.of(
+                    "urgent", new QueueSettings("urgent", "service", 0, 3, 1.5, 250),
+                    "normal", new QueueSettings("normal", "service", 1, 3, 3, 1_000),
+                    "batch", new QueueSettings("batch", "service", 2, 3, 3, 3_000)),
+            Map.of("team", 16));
+
+    record StoredValue(byte[] value, long revision) {}
+
+    PlacerScenario() {
+        elect();
+    }
+
+    /** Adds a backend server of the usual size and connects it. */
+    FakeServer server(String id, String rack) {
+        FakeServer server = new FakeServer(id, now, rack, SERVER, task -> work.getOrDefault(task, 1_000L));
+        servers.put(id, server);
+        server.connect(term);
+        return server;
+    }
+
+    /** Replaces the placer by one that knows only what is stored. */
+    void elect() {
+        term = ++revision;
+        due.clear();
+        placer = new WorkPlacer(term, TIMINGS, configuration, this);
+        accepted.values().forEach(job -> placer.jobAccepted(job, 1, stored(job.id()), now));
+        servers.values().forEach(server -> server.connect(term));
+    }
+
+    void configure(WorkloadConfiguration newConfiguration) {
+        configuration = newConfiguration;
+        placer.configurationChanged(newConfiguration);
+    }
+
+    private Optional<WorkPlacer.StoredRecord> stored(String job) {
+        return Optional.ofNullable(store.get(job))
+                .map(value -> new WorkPlacer.StoredRecord(
+                        WorkloadJson.decodeRecord(value.value()), value.revision()));
+    }
+
+    /** Accepts a job of one step. */
+    JobSpecification submit(String id, String queue, StepSpecification... steps) {
+        JobSpecification job = new JobSpecification(id, queue, "team", "payload", List.of(steps), 0, 0, 0);
+        return submit(job);
+    }
+
+    JobSpecification submit(JobSpecification job) {
+        accepted.put(job.id(), job);
+        placer.jobAccepted(job, ++revision, Optional.empty(), now);
+        return job;
+    }
+
+    void run(long milliseconds) {
+        long until = now + milliseconds;
+        while (now < until) {
+            now += STEP_MILLISECONDS;
+            List<Runnable> actions = List.copyOf(due);
+            due.clear();
+            actions.forEach(Runnable::run);
+            servers.values().forEach(server -> server.advance(now, placer));
+            placer.advance(now);
+        }
+    }
+
+    JobPhase phase(String job) {
+        return stored(job).map(record -> record.record().phase()).orElse(JobPhase.QUEUED);
+    }
+
+    long runningTasks() {
+        return servers.values().stream().mapToLong(server -> server.running.size()).sum();
+    }
+
+    long starts(String task) {
+        return servers.values().stream()
+                .flatMap(server -> server.starts.stream())
+                .filter(start -> start.task().equals(task))
+                .count();
+    }
+
+    static StepSpecification step(int count, int accelerators) {
+        return step(count, accelerators, false, false, List.of());
+    }
+
+    static StepSpecification gang(int count, int accelerators) {
+        return step(count, accelerators, true, true, List.of());
+    }
+
+    static StepSpecification step(
+            int count, int accelerators, boolean gang, boolean sameRack, List<Integer> after) {
+        return new StepSpecification(
+                count,
+                new Resources(1_000, 1_000, accelerators),
+                1_000,
+                after,
+                false,
+                gang,
+                sameRack,
+                "",
+                "",
+                0,
+                false,
+                false,
+                0,
+                0);
+    }
+
+    @Override
+    public void write(List<RecordWrite> writes) {
+        WorkPlacer writer = placer;
+        due.add(() -> {
+            if (!storeAnswers) {
+                writer.writeFailed(now);
+                return;
+            }
+            boolean holds = writes.stream()
+                    .allMatch(write -> revisionOf(write.job()) == write.expectedRevision());
+            if (!holds) {
+                Map<String, Long> revisions = new HashMap<>();
+                store.forEach((job, value) -> revisions.put(job, value.revision()));
+                writer.revisionsRead(revisions);
+                return;
+            }
+            revision++;
+            writes.forEach(write -> store.put(write.job(), new StoredValue(write.value(), revision)));
+            writer.written(revision);
+        });
+    }
+
+    private long revisionOf(String job) {
+        return Optional.ofNullable(store.get(job)).map(StoredValue::revision).orElse(0L);
+    }
+
+    @Override
+    public void publishPending(Map<String, Integer> counts) {
+        pending = counts;
+    }
+
+    @Override
+    public long wallMilliseconds() {
+        return now;
+    }
+}
--- /dev/null
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -0,0 +1,225 @@
+package org.teaselwood.workload.placer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.protocol.message.WorkMessage.EndKind;
+import org.teaselwood.workload.model.JobSpecification;
+import org.teaselwood.workload.record.JobPhase;
+
+/** The promises of the placer, in virtual time and with the faults that break them. */
+final class WorkPlacerTest {
+    private final PlacerScenario scenario = new PlacerScenario();
+
+    @Test
+    void a_job_of_two_steps_runs_in_order_and_completes() {
+        scenario.server("s1", "r1");
+        scenario.submit(
+                "job", "normal", PlacerScenario.step(2, 1), PlacerScenario.step(1, 1, false, false, List.of(0)));
+        scenario.run(600);
+        assertThat(scenario.starts("job.0.1.0")).isEqualTo(0);
+        scenario.run(3_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(scenario.starts("job.0.1.0")).isEqualTo(1);
+    }
+
+    @Test
+    void nothing_is_started_while_its_start_cannot_be_stored() {
+        scenario.server("s1", "r1");
+        scenario.storeAnswers = false;
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(1_000);
+        assertThat(scenario.runningTasks()).isEqualTo(0);
+        scenario.storeAnswers = true;
+        scenario.run(2_500);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void an_end_is_not_acknowledged_before_it_is_stored() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(500);
+        scenario.storeAnswers = false;
+        scenario.run(2_000);
+        assertThat(server.ended).hasSize(1);
+        scenario.storeAnswers = true;
+        scenario.elect();
+        scenario.run(500);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(server.ended).isEmpty();
+        assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
+    }
+
+    @Test
+    void a_new_placer_takes_over_what_runs() {
+        scenario.server("s1", "r1");
+        scenario.work.put("job.0.0.0", 5_000L);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(1_000);
+        scenario.elect();
+        scenario.run(6_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
+    }
+
+    @Test
+    void a_run_on_a_silent_server_is_not_placed_again_before_its_lease_has_surely_ended() {
+        FakeServer silent = scenario.server("s1", "r1");
+        scenario.work.put("job.0.0.0", 20_000L);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(1_000);
+        scenario.server("s2", "r1");
+        silent.connected = false;
+        scenario.elect();
+        scenario.run(PlacerScenario.TIMINGS.lostAfterMilliseconds() - 600);
+        assertThat(scenario.servers.get("s2").running).isEmpty();
+        silent.lapse();
+        scenario.run(1_500);
+        assertThat(scenario.servers.get("s2").running).hasSize(1);
+    }
+
+    @Test
+    void a_gang_starts_only_where_all_its_members_fit() {
+        scenario.server("s1", "r1");
+        scenario.submit("job", "normal", PlacerScenario.gang(3, 4));
+        scenario.run(1_000);
+        assertThat(scenario.runningTasks()).isEqualTo(0);
+        scenario.server("s2", "r1");
+        scenario.run(300);
+        assertThat(scenario.runningTasks()).isEqualTo(3);
+    }
+
+    @Test
+    void a_gang_of_one_rack_waits_for_room_in_a_rack_that_can_hold_it() {
+        scenario.server("s1", "r1");
+        scenario.server("s2", "r2");
+        scenario.submit("job", "normal", PlacerScenario.gang(2, 4));
+        scenario.run(300);
+        assertThat(scenario.servers.get("s1").running.size() * scenario.servers.get("s2").running.size())
+                .isEqualTo(0);
+        assertThat(scenario.runningTasks()).isEqualTo(2);
+    }
+
+    @Test
+    void a_failed_gang_counts_one_attempt_and_the_job_fails_after_the_last() {
+        FakeServer server = scenario.server("s1", "r1");
+        server.endKind = EndKind.FAILED;
+        scenario.submit("job", "normal", PlacerScenario.gang(2, 1));
+        scenario.run(30_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.FAILED);
+        assertThat(scenario.starts("job.0.0.0")).isEqualTo(3);
+    }
+
+    @Test
+    void an_urgent_job_stops_other_work_when_there_is_no_room() {
+        scenario.server("s1", "r1");
+        scenario.work.put("low.0.0.0", 60_000L);
+        scenario.submit("low", "batch", PlacerScenario.step(1, 8));
+        scenario.run(500);
+        scenario.submit("high", "urgent", PlacerScenario.gang(2, 4));
+        scenario.run(1_000);
+        assertThat(scenario.servers.get("s1").running.keySet()).containsExactly("high.0.0.0#1", "high.0.0.1#1");
+    }
+
+    @Test
+    void the_room_freed_for_an_urgent_gang_is_not_taken_by_smaller_work() {
+        scenario.server("s1", "r1");
+        for (int index = 0; index < 8; index++) {
+            scenario.work.put("low.0.0." + index, 60_000L);
+        }
+        scenario.submit("low", "batch", PlacerScenario.step(8, 1));
+        scenario.run(500);
+        scenario.submit("more", "batch", PlacerScenario.step(8, 1));
+        scenario.submit("high", "urgent", PlacerScenario.gang(1, 8));
+        scenario.run(1_000);
+        assertThat(scenario.servers.get("s1").running.keySet()).containsExactly("high.0.0.0#1");
+    }
+
+    @Test
+    void a_cancelled_job_stops_and_starts_nothing_more() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.work.put("job.0.0.0", 60_000L);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(500);
+        scenario.placer.jobCancelled("job", scenario.now);
+        scenario.run(500);
+        assertThat(server.running).isEmpty();
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.CANCELLED);
+        scenario.run(2_000);
+        assertThat(server.starts).hasSize(1);
+    }
+
+    @Test
+    void a_draining_server_gets_nothing_more() {
+        FakeServer server = scenario.server("s1", "r1");
+        server.draining = true;
+        scenario.run(1_000);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(1_000);
+        assertThat(server.starts).isEmpty();
+    }
+
+    @Test
+    void a_run_that_stands_still_is_moved_to_another_server() {
+        FakeServer hanging = scenario.server("s1", "r1");
+        hanging.hangs = true;
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(500);
+        scenario.server("s2", "r1");
+        scenario.run(6_500);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void a_gang_whose_orders_are_not_answered_is_stopped_before_its_members_end_alone() {
+        FakeServer mute = scenario.server("s1", "r1");
+        mute.answersOrders = false;
+        mute.hangs = true;
+        scenario.submit("job", "normal", PlacerScenario.gang(1, 1));
+        scenario.run(400);
+        assertThat(mute.running).hasSize(1);
+    }
+
+    @Test
+    void a_server_is_never_given_more_than_it_has() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.submit("job", "normal", PlacerScenario.step(20, 3));
+        for (int slice = 0; slice < 150; slice++) {
+            scenario.run(100);
+            assertThat(server.running.size()).isAtMost(2);
+        }
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void an_occurrence_starts_at_its_due_time_and_not_before() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.submit(new JobSpecification(
+                "job",
+                "normal",
+                "team",
+                "payload",
+                List.of(PlacerScenario.step(1, 1)),
+                scenario.now + 2_000,
+                1_000,
+                2));
+        scenario.run(1_900);
+        assertThat(server.starts).isEmpty();
+        scenario.run(400);
+        assertThat(server.starts).hasSize(1);
+        scenario.run(3_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void waiting_jobs_are_counted_by_queue() {
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(2_000);
+        assertThat(scenario.pending).containsEntry("normal", 1);
+        scenario.server("s1", "r1");
+        scenario.run(2_000);
+        assertThat(scenario.pending).containsEntry("normal", 0);
+    }
+}
