--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -75,8 +75,7 @@
 
     private Optional<WorkPlacer.StoredRecord> stored(String job) {
         return Optional.ofNullable(store.get(job))
-                .map(value -> new WorkPlacer.StoredRecord(
-                        WorkloadJson.decodeRecord(value.value()), value.revision()));
+                .map(value -> new WorkPlacer.StoredRecord(WorkloadJson.decodeRecord(value.value()), value.revision()));
     }
 
     /** Accepts a job of one step. */
@@ -108,7 +107,9 @@
     }
 
     long runningTasks() {
-        return servers.values().stream().mapToLong(server -> server.running.size()).sum();
+        return servers.values().stream()
+                .mapToLong(server -> server.running.size())
+                .sum();
     }
 
     long starts(String task) {
@@ -126,8 +127,7 @@
         return step(count, accelerators, true, true, List.of());
     }
 
-    static StepSpecification step(
-            int count, int accelerators, boolean gang, boolean sameRack, List<Integer> after) {
+    static StepSpecification step(int count, int accelerators, boolean gang, boolean sameRack, List<Integer> after) {
         return new StepSpecification(
                 count,
                 new Resources(1_000, 1_000, accelerators),
@@ -153,8 +153,7 @@
                 writer.writeFailed(now);
                 return;
             }
-            boolean holds = writes.stream()
-                    .allMatch(write -> revisionOf(write.job()) == write.expectedRevision());
+            boolean holds = writes.stream().allMatch(write -> revisionOf(write.job()) == write.expectedRevision());
             if (!holds) {
                 Map<String, Long> revisions = new HashMap<>();
                 store.forEach((job, value) -> revisions.put(job, value.revision()));
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -97,7 +97,8 @@
         scenario.server("s2", "r2");
         scenario.submit("job", "normal", PlacerScenario.gang(2, 4));
         scenario.run(300);
-        assertThat(scenario.servers.get("s1").running.size() * scenario.servers.get("s2").running.size())
+        assertThat(scenario.servers.get("s1").running.size()
+                        * scenario.servers.get("s2").running.size())
                 .isEqualTo(0);
         assertThat(scenario.runningTasks()).isEqualTo(2);
     }
