--- a/teaselwood-settings/src/main/java/org/teaselwood/settings/JsonLogConfigurator.java
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/JsonLogConfigurator.java
@@ -32,6 +32,8 @@
         appender.setTarget("System.out");
         appender.setEncoder(encoder);
         appender.start();
+        // Netty warns on machines that hide their hardware address, which nothing here needs.
+        context.getLogger("io.netty").setLevel(Level.ERROR);
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.INFO);
         root.addAppender(appender);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/PlacerLink.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/PlacerLink.java
@@ -93,7 +93,7 @@
 
             @Override
             public void broken(Throwable cause) {
-                LOGGER.info("watch of the election is broken: {}", cause.getMessage());
+                LOGGER.debug("watch of the election is broken: {}", cause.getMessage());
                 vertx.setTimer(REOPEN_MILLISECONDS, timer -> openWatch());
             }
         });
@@ -115,7 +115,7 @@
                         },
                         failure -> {
                             reading = false;
-                            LOGGER.info("the election cannot be read: {}", failure.getMessage());
+                            LOGGER.debug("the election cannot be read: {}", failure.getMessage());
                         });
     }
 
@@ -160,7 +160,7 @@
             connecting = false;
             nextConnectAt = clock.nowMilliseconds() + REOPEN_MILLISECONDS;
             if (result.failed()) {
-                LOGGER.info(
+                LOGGER.debug(
                         "placer {} cannot be reached: {}",
                         target.entry(),
                         result.cause().getMessage());
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
@@ -13,7 +13,6 @@
 import org.teaselwood.protocol.MonotonicClock;
 import org.teaselwood.store.KeyValueCondition;
 import org.teaselwood.store.KeyValueOperation;
-import org.teaselwood.store.KeyValueService;
 import org.teaselwood.store.KeyValueTransaction;
 import org.teaselwood.workload.model.JobSpecification;
 import org.teaselwood.workload.record.JobPhase;
@@ -35,9 +34,12 @@
     /** Published counts that did not change hands for this long are not given out: three publishing intervals. */
     private static final long PENDING_AGE_MILLISECONDS = 3_000;
 
+    /** Callers try four more times; this spreads their tries over an outage of ten seconds. */
+    private static final int LONGEST_RETRY_SECONDS = 3;
+
     private final Vertx vertx;
     private final MonotonicClock clock;
-    private final KeyValueService store;
+    private final ObservedKeyValueService store;
     private volatile SeenCounts seenCounts = new SeenCounts(0, 0);
 
     private record SeenCounts(long revision, long firstSeenAt) {}
@@ -53,14 +55,23 @@
     }
 
     /** A desk on the given store. */
-    public JobDesk(Vertx vertx, MonotonicClock clock, KeyValueService store) {
+    public JobDesk(Vertx vertx, MonotonicClock clock, ObservedKeyValueService store) {
         this.vertx = vertx;
         this.clock = clock;
         this.store = store;
     }
 
-    /** Stores a job, trying until the time limit in milliseconds. */
+    /** Time after which a refused caller should come back, in seconds. */
+    public long retryAfterSeconds() {
+        // An outage that has lasted a while is likely to last as long again.
+        return Math.clamp((store.outageMilliseconds() + 999) / 1_000, 1, LONGEST_RETRY_SECONDS);
+    }
+
+    /** Stores a job, trying until the time limit in milliseconds; refuses at once during an outage of the store. */
     public Uni<Submission> submit(JobSpecification job, long limitMilliseconds) {
+        if (store.outageMilliseconds() > 0) {
+            return Uni.createFrom().item(Submission.NOT_ACCEPTED);
+        }
         KeyValueTransaction creation = new KeyValueTransaction(
                 List.of(new KeyValueCondition(WorkloadKeys.accepted(job.id()), 0)),
                 List.of(new KeyValueOperation.Put(WorkloadKeys.accepted(job.id()), WorkloadJson.encode(job), 0)));
@@ -73,8 +84,8 @@
                 .onFailure()
                 .recoverWithUni(failure -> {
                     boolean nowUncertain = uncertain || !isRefusal(failure);
-                    LOGGER.info("job {} not stored yet: {}", job, failure.getMessage());
-                    if (clock.nowMilliseconds() + RETRY_PAUSE.toMillis() >= until) {
+                    LOGGER.debug("job {} not stored yet: {}", job, failure.getMessage());
+                    if (clock.nowMilliseconds() + RETRY_PAUSE.toMillis() >= until || store.outageMilliseconds() > 0) {
                         return Uni.createFrom().item(nowUncertain ? Submission.UNKNOWN : Submission.NOT_ACCEPTED);
                     }
                     return pause().chain(() -> trySubmit(creation, job, until, nowUncertain));
@@ -138,12 +149,17 @@
     }
 
     private <T> Uni<T> retried(Attempt<T> attempt, long limitMilliseconds) {
+        long outage = store.outageMilliseconds();
+        if (outage > 0) {
+            return Uni.createFrom()
+                    .failure(TeaselwoodException.of(ErrorKind.STORE_REFUSED, "no answer for " + outage + " ms"));
+        }
         return retriedUntil(attempt, clock.nowMilliseconds() + limitMilliseconds);
     }
 
     private <T> Uni<T> retriedUntil(Attempt<T> attempt, long until) {
         return attempt.get().onFailure().recoverWithUni(failure -> {
-            if (clock.nowMilliseconds() + RETRY_PAUSE.toMillis() >= until) {
+            if (clock.nowMilliseconds() + RETRY_PAUSE.toMillis() >= until || store.outageMilliseconds() > 0) {
                 return Uni.createFrom().failure(failure);
             }
             return pause().chain(() -> retriedUntil(attempt, until));
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/ObservedKeyValueService.java
@@ -0,0 +1,100 @@
+package org.teaselwood.workload.entry;
+
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueService;
+import org.teaselwood.store.KeyValueTransaction;
+import org.teaselwood.store.TransactionResult;
+
+/**
+ * A key-value service that remembers whether it answers. Thread-safe.
+ *
+ * <p>An entry that knows that the service cannot be reached refuses requests at once, because another entry may reach
+ * it. The calls that follow the election and the configuration go on and tell when it is back.
+ */
+public final class ObservedKeyValueService implements KeyValueService {
+    private static final Logger LOGGER = LoggerFactory.getLogger(ObservedKeyValueService.class);
+
+    /** Failures count as an outage after this time without an answer: more than one slow answer takes. */
+    private static final long OUTAGE_MILLISECONDS = 1_000;
+
+    private final KeyValueService service;
+    private final MonotonicClock clock;
+    private volatile long answeredAt;
+    private volatile boolean failing;
+    private volatile boolean reported;
+
+    /** Observes a service; it counts as reachable until calls have failed for a while. */
+    public ObservedKeyValueService(KeyValueService service, MonotonicClock clock) {
+        this.service = service;
+        this.clock = clock;
+        this.answeredAt = clock.nowMilliseconds();
+    }
+
+    /** Time since the last answer while calls fail, in milliseconds; 0 while the service can be reached. */
+    public long outageMilliseconds() {
+        long silence = clock.nowMilliseconds() - answeredAt;
+        return failing && silence > OUTAGE_MILLISECONDS ? silence : 0;
+    }
+
+    @Override
+    public Uni<Optional<KeyValue>> get(String key) {
+        return observed(service.get(key));
+    }
+
+    @Override
+    public Uni<List<KeyValue>> list(String prefix) {
+        return observed(service.list(prefix));
+    }
+
+    @Override
+    public Uni<TransactionResult> transact(KeyValueTransaction transaction) {
+        return observed(service.transact(transaction));
+    }
+
+    @Override
+    public Uni<Long> grantLease(long seconds) {
+        return observed(service.grantLease(seconds));
+    }
+
+    @Override
+    public Uni<Void> renewLease(long lease) {
+        return service.renewLease(lease);
+    }
+
+    @Override
+    public AutoCloseable watch(String prefix, WatchListener listener) {
+        return service.watch(prefix, listener);
+    }
+
+    @Override
+    public void close() {
+        service.close();
+    }
+
+    private <T> Uni<T> observed(Uni<T> call) {
+        return call.onItem().invoke(item -> answered()).onFailure().invoke(this::failed);
+    }
+
+    private void answered() {
+        if (reported) {
+            reported = false;
+            LOGGER.info("the key-value service answers again after {} ms", clock.nowMilliseconds() - answeredAt);
+        }
+        failing = false;
+        answeredAt = clock.nowMilliseconds();
+    }
+
+    private void failed(Throwable cause) {
+        failing = true;
+        if (!reported && outageMilliseconds() > 0) {
+            reported = true;
+            LOGGER.warn("the key-value service cannot be reached: {}", cause.getMessage());
+        }
+    }
+}
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -125,7 +125,8 @@
                             }
                         },
                         failure -> {
-                            LOGGER.info("a write of {} records has no result: {}", writes.size(), failure.getMessage());
+                            LOGGER.debug(
+                                    "a write of {} records has no result: {}", writes.size(), failure.getMessage());
                             offer(new PlacerEvent.WriteFailed(writeTerm));
                         });
     }
@@ -139,7 +140,7 @@
                 .subscribe()
                 .with(
                         result -> LOGGER.debug("published {}", pending),
-                        failure -> LOGGER.info("the waiting jobs were not published: {}", failure.getMessage()));
+                        failure -> LOGGER.debug("the waiting jobs were not published: {}", failure.getMessage()));
     }
 
     @Override
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
@@ -147,7 +147,7 @@
         readAt = clock.nowMilliseconds();
         store.get(WorkloadKeys.PLACER)
                 .subscribe()
-                .with(this::seen, failure -> LOGGER.info("the election cannot be read: {}", failure.getMessage()));
+                .with(this::seen, failure -> LOGGER.debug("the election cannot be read: {}", failure.getMessage()));
     }
 
     private void seen(Optional<KeyValue> item) {
@@ -228,7 +228,7 @@
                         failure -> {
                             busy = false;
                             nextActionAt = clock.nowMilliseconds() + RETRY_MILLISECONDS;
-                            LOGGER.info("term {} could not be renewed: {}", renewedTerm, failure.getMessage());
+                            LOGGER.debug("term {} could not be renewed: {}", renewedTerm, failure.getMessage());
                             if (term == renewedTerm) {
                                 readElection();
                             }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
@@ -99,7 +99,7 @@
                 store.list(WorkloadKeys.REQUESTS)
                         .subscribe()
                         .with(items -> duty.offer(new PlacerEvent.Requested(items)), failure -> {
-                            LOGGER.info("requests cannot be read: {}", failure.getMessage());
+                            LOGGER.debug("requests cannot be read: {}", failure.getMessage());
                             vertx.setTimer(REOPEN_MILLISECONDS, timer -> opened());
                         });
             }
@@ -111,7 +111,7 @@
 
             @Override
             public void broken(Throwable cause) {
-                LOGGER.info("watch of requests is broken: {}", cause.getMessage());
+                LOGGER.debug("watch of requests is broken: {}", cause.getMessage());
                 vertx.setTimer(REOPEN_MILLISECONDS, timer -> openWatch());
             }
         });
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -45,6 +45,7 @@
                     "batch", new QueueSettings("batch", "service", 2, 3, 3, 3_000)),
             Map.of("team", 16));
 
+    /** A stored record. Immutable. */
     record StoredValue(byte[] value, long revision) {}
 
     PlacerScenario() {
