Replace a placer whose process has died without waiting for its lease

Cause: a killed placer was replaced after its lease of 2 s, during which nothing starts; urgent jobs have 0.25 s beside half their run time. Change: the other entries keep a connection to the placer; when it closes and its port refuses twice, they stand for election on condition of its term. Silence still waits for the lease. Ruled out: a shorter lease, which answers lost or late would break.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
@@ -38,6 +38,7 @@
     private final KeyValueService store;
     private final Candidate candidate;
     private final Listener listener;
+    private final PlacerProbe probe;
     private boolean stopped;
     private boolean eligible;
     private boolean busy;
@@ -72,6 +73,7 @@
         this.store = store;
         this.candidate = candidate;
         this.listener = listener;
+        this.probe = new PlacerProbe(vertx, this::placerDied);
     }
 
     /** Begins to follow the election; call on the event loop. */
@@ -95,6 +97,7 @@
     /** Gives the term up, so that another entry is elected at once. */
     public void resign() {
         stopped = true;
+        probe.release();
         if (term != 0) {
             long resigned = term;
             depose("it is stopping");
@@ -161,6 +164,7 @@
         if (stopped || !eligible || busy) {
             return;
         }
+        item.filter(found -> !isOwn(found)).flatMap(PlacerLink::decode).ifPresent(probe::follow);
         if (item.isEmpty()) {
             campaign(0);
         } else if (isOwn(item.get())) {
@@ -168,6 +172,12 @@
         }
     }
 
+    private void placerDied(long deadTerm) {
+        if (!stopped && eligible && !busy && term == 0) {
+            campaign(deadTerm);
+        }
+    }
+
     private boolean isOwn(KeyValue item) {
         return PlacerLink.decode(item).filter(found -> isCandidate(found)).isPresent();
     }
@@ -209,6 +219,7 @@
         if (stopped) {
             return;
         }
+        probe.release();
         term = newTerm;
         nextActionAt = clock.nowMilliseconds() + RENEW_MILLISECONDS;
         LOGGER.info("elected placer of term {}", newTerm);
