Stop other work for an urgent job only when that is worth it

Change: an urgent job stops others at once if they lose less than a tenth of its own work, otherwise after 600 ms; without a guarantee at most as much as its own work. Two tests in virtual time.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/Resources.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/Resources.java
@@ -8,9 +8,19 @@
  * @param accelerators whole accelerators
  */
 public record Resources(long milliCores, long memoryMebibytes, int accelerators) {
+    /** An accelerator costs its owner as much as eight cores. */
+    private static final int ACCELERATOR_IN_CORES = 8;
+
+    private static final double MILLI_CORES = 1_000.0;
+
     /** Nothing at all. */
     public static final Resources NONE = new Resources(0, 0, 0);
 
+    /** Cores of the same cost. */
+    public double equivalentCores() {
+        return milliCores / MILLI_CORES + ACCELERATOR_IN_CORES * accelerators;
+    }
+
     /** The sum of both. */
     public Resources plus(Resources other) {
         return new Resources(
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -20,6 +20,18 @@
     /** Room that is being freed is kept this long: a stop, its report and the delay of both. */
     private static final long PLAN_MILLISECONDS = 1_200;
 
+    /**
+     * An urgent job stops others at once when they lose little; otherwise it waits this long for room to become free by
+     * itself. The objective of urgent jobs leaves half their run time, more than this for most.
+     */
+    private static final long PATIENCE_MILLISECONDS = 600;
+
+    /** Work thrown away is little up to this share of the urgent job's own work. */
+    private static final double SMALL_LOSS = 0.1;
+
+    /** A job without a guarantee throws away at most as much work as it does itself. */
+    private static final double LARGEST_LOSS = 1.0;
+
     private final Collection<JobState> jobs;
     private final Collection<ServerState> servers;
     private final WorkloadConfiguration configuration;
@@ -137,17 +149,25 @@
         }
         if (step.plan.isEmpty() || step.planUntil <= now) {
             step.plan = Map.of();
-            findPlan(candidate, step).ifPresent(plan -> {
-                plan.victims().forEach(run -> actions.preempt(run, candidate.job()));
-                step.plan = plan.room();
-                step.planUntil = now + PLAN_MILLISECONDS;
-            });
+            findPlan(candidate, step)
+                    .filter(plan -> isWorthIt(candidate, step, plan))
+                    .ifPresent(plan -> {
+                        plan.victims().forEach(run -> actions.preempt(run, candidate.job()));
+                        step.plan = plan.room();
+                        step.planUntil = now + PLAN_MILLISECONDS;
+                    });
         }
         servers.stream()
                 .filter(server -> step.plan.containsKey(server.id))
                 .forEach(server -> room.take(server, step.plan.get(server.id)));
     }
 
+    private boolean isWorthIt(Candidate candidate, StepState step, Preemption.Plan plan) {
+        double loss = plan.loss() / Math.max(1, step.estimatedWork());
+        return loss <= SMALL_LOSS
+                || now - step.readySince >= PATIENCE_MILLISECONDS && (candidate.entitled() || loss <= LARGEST_LOSS);
+    }
+
     private Optional<Preemption.Plan> findPlan(Candidate candidate, StepState step) {
         String service = candidate.queue().service();
         Predicate<Run> mayStop = run -> entitlements.mayStop(run, candidate.entitled());
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -9,7 +9,6 @@
  * or the server was seen without it, or everything on the server has surely ended.
  */
 final class Run {
-    private static final int ACCELERATOR_IN_CORES = 8;
     private static final double MILLI = 1_000.0;
 
     final JobState job;
@@ -53,8 +52,7 @@
 
     /** Work that a stop would throw away, in core-seconds; an accelerator counts as eight cores. */
     double lossIfStopped(long now) {
-        Resources taken = step.specification.resources();
-        double cores = taken.milliCores() / MILLI + ACCELERATOR_IN_CORES * taken.accelerators();
+        double cores = step.specification.resources().equivalentCores();
         double seconds = (now - startedAt) / MILLI;
         return cores * (step.specification.checkpointing() ? Math.min(seconds, 1) : seconds);
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
@@ -38,6 +38,14 @@
                 .toList();
     }
 
+    /** Work of the waiting tasks by the submitter's estimate, in core-seconds. */
+    double estimatedWork() {
+        return tasks.stream().filter(TaskState::waits).count()
+                * specification.resources().equivalentCores()
+                * specification.estimateMilliseconds()
+                / 1_000.0;
+    }
+
     boolean done() {
         return tasks.stream().allMatch(task -> task.done);
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -137,6 +137,31 @@
         assertThat(scenario.servers.get("s1").running.keySet()).containsExactly("high.0.0.0#1", "high.0.0.1#1");
     }
 
+    @Test
+    void an_urgent_job_without_a_guarantee_does_not_throw_away_more_work_than_it_does() {
+        scenario.server("s1", "r1");
+        scenario.work.put("low.0.0.0", 20_000L);
+        scenario.submit("low", "batch", PlacerScenario.step(1, 8));
+        scenario.run(10_000);
+        scenario.submit(new JobSpecification(
+                "high", "urgent", "other team", "payload", List.of(PlacerScenario.gang(1, 8)), 0, 0, 0));
+        scenario.run(5_000);
+        assertThat(scenario.servers.get("s1").running.keySet()).containsExactly("low.0.0.0#1");
+    }
+
+    @Test
+    void an_urgent_job_waits_a_moment_for_room_before_it_stops_other_work() {
+        scenario.server("s1", "r1");
+        scenario.work.put("low.0.0.0", 5_500L);
+        scenario.submit("low", "batch", PlacerScenario.step(1, 8));
+        scenario.run(5_200);
+        scenario.submit("high", "urgent", PlacerScenario.gang(1, 8));
+        scenario.run(2_000);
+        assertThat(scenario.phase("low")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(scenario.phase("high")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(scenario.starts("low.0.0.0")).isEqualTo(1);
+    }
+
     @Test
     void the_room_freed_for_an_urgent_gang_is_not_taken_by_smaller_work() {
         scenario.server("s1", "r1");
