Wait a moment for the end of an outage before refusing a job

Callers tried five times within 3 s, whatever Retry-After said, and three jobs were refused. Change: a submission is tried for 800 ms during an outage, so that the tries of a caller span more than the outage; after 15 s it is refused at once.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
@@ -34,6 +34,15 @@
     /** Published counts that did not change hands for this long are not given out: three publishing intervals. */
     private static final long PENDING_AGE_MILLISECONDS = 3_000;
 
+    /**
+     * A request waits this long for the end of an outage: short enough for another entry to be tried in time when only
+     * this one is cut off, long enough for the tries of a caller to span the usual outage of a few seconds.
+     */
+    private static final long OUTAGE_WAIT_MILLISECONDS = 800;
+
+    /** After an outage of this length its end is not waited for. */
+    private static final long LONG_OUTAGE_MILLISECONDS = 15_000;
+
     /** Callers try four more times; this spreads their tries over an outage of ten seconds. */
     private static final int LONGEST_RETRY_SECONDS = 3;
 
@@ -67,28 +76,43 @@
         return Math.clamp((store.outageMilliseconds() + 999) / 1_000, 1, LONGEST_RETRY_SECONDS);
     }
 
-    /** Stores a job, trying until the time limit in milliseconds; refuses at once during an outage of the store. */
+    /**
+     * Stores a job, trying until the time limit in milliseconds. During an outage of the store it tries for a shorter
+     * time, and not at all when the outage has lasted long.
+     */
     public Uni<Submission> submit(JobSpecification job, long limitMilliseconds) {
-        if (store.outageMilliseconds() > 0) {
+        if (store.outageMilliseconds() > LONG_OUTAGE_MILLISECONDS) {
             return Uni.createFrom().item(Submission.NOT_ACCEPTED);
         }
         KeyValueTransaction creation = new KeyValueTransaction(
                 List.of(new KeyValueCondition(WorkloadKeys.accepted(job.id()), 0)),
                 List.of(new KeyValueOperation.Put(WorkloadKeys.accepted(job.id()), WorkloadJson.encode(job), 0)));
-        return trySubmit(creation, job.id(), clock.nowMilliseconds() + limitMilliseconds, false);
+        return trySubmit(creation, job.id(), new Limits(clock.nowMilliseconds(), limitMilliseconds), false);
+    }
+
+    /** Times until which a request is tried, in milliseconds. Immutable. */
+    private record Limits(long until, long untilInOutage) {
+        Limits(long now, long limit) {
+            this(now + limit, now + Math.min(limit, OUTAGE_WAIT_MILLISECONDS));
+        }
+    }
+
+    private boolean isOver(Limits limits) {
+        long next = clock.nowMilliseconds() + RETRY_PAUSE.toMillis();
+        return next >= limits.until() || store.outageMilliseconds() > 0 && next >= limits.untilInOutage();
     }
 
-    private Uni<Submission> trySubmit(KeyValueTransaction creation, String job, long until, boolean uncertain) {
+    private Uni<Submission> trySubmit(KeyValueTransaction creation, String job, Limits limits, boolean uncertain) {
         return store.transact(creation)
                 .map(result -> Submission.ACCEPTED)
                 .onFailure()
                 .recoverWithUni(failure -> {
                     boolean nowUncertain = uncertain || !isRefusal(failure);
                     LOGGER.debug("job {} not stored yet: {}", job, failure.getMessage());
-                    if (clock.nowMilliseconds() + RETRY_PAUSE.toMillis() >= until || store.outageMilliseconds() > 0) {
+                    if (isOver(limits)) {
                         return Uni.createFrom().item(nowUncertain ? Submission.UNKNOWN : Submission.NOT_ACCEPTED);
                     }
-                    return pause().chain(() -> trySubmit(creation, job, until, nowUncertain));
+                    return pause().chain(() -> trySubmit(creation, job, limits, nowUncertain));
                 });
     }
 
