--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
@@ -87,13 +87,13 @@
         KeyValueTransaction creation = new KeyValueTransaction(
                 List.of(new KeyValueCondition(WorkloadKeys.accepted(job.id()), 0)),
                 List.of(new KeyValueOperation.Put(WorkloadKeys.accepted(job.id()), WorkloadJson.encode(job), 0)));
-        return trySubmit(creation, job.id(), new Limits(clock.nowMilliseconds(), limitMilliseconds), false);
+        return trySubmit(creation, job.id(), Limits.of(clock.nowMilliseconds(), limitMilliseconds), false);
     }
 
     /** Times until which a request is tried, in milliseconds. Immutable. */
     private record Limits(long until, long untilInOutage) {
-        Limits(long now, long limit) {
-            this(now + limit, now + Math.min(limit, OUTAGE_WAIT_MILLISECONDS));
+        static Limits of(long now, long limit) {
+            return new Limits(now + limit, now + Math.min(limit, OUTAGE_WAIT_MILLISECONDS));
         }
     }
 
