Judge a gang's progress by its slowest member

Change: a gang stands still when none of its members moves; the last one is stopped. Finished work is not taken for standing still.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -48,6 +48,8 @@
     /** A task whose progress stands still this long is moved; progress is reported in whole percents. */
     private static final long STALL_MILLISECONDS = 4_000;
 
+    private static final int COMPLETE_PERCENT = 100;
+
     private final long term;
     private final WorkloadTimings timings;
     private final PlacerEffects effects;
@@ -384,13 +386,19 @@
                 });
     }
 
+    /**
+     * Stops runs that stand still. The members of a gang end together, so that those that are ahead stand still while
+     * they wait for the slowest: a gang stands still when none of its members moves, by the fault of the last.
+     */
     private void moveStalledRuns(long now) {
         servers.values().stream()
                 .flatMap(server -> server.runs.values().stream())
                 .filter(run -> run.state == RunState.RUNNING
                         && !run.step.specification.longRunning()
+                        && run.percent < COMPLETE_PERCENT
                         && now - run.progressAt > STALL_MILLISECONDS
                         && now - run.server.heardAt < WorkloadTimings.SUSPECT_MILLISECONDS)
+                .filter(run -> !run.step.gang() || isLastOfStandingGang(run, now))
                 .toList()
                 .forEach(run -> {
                     LOGGER.info(
@@ -405,6 +413,13 @@
                 });
     }
 
+    private static boolean isLastOfStandingGang(Run run, long now) {
+        return run.step.tasks.stream()
+                .filter(member -> member.run != null)
+                .allMatch(member ->
+                        now - member.run.progressAt > STALL_MILLISECONDS && member.run.percent >= run.percent);
+    }
+
     private void updateMaximumAttempts(JobState job) {
         if (configuration != null) {
             configuration
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -40,6 +40,9 @@
     /** Runs that make no progress. */
     boolean hangs;
 
+    /** Finished work stays at 100 percent until it is released, as a gang's does that waits for another member. */
+    boolean endsWhenReleased;
+
     long term;
     private final ToLongFunction<String> workMilliseconds;
     private final Map<String, Integer> highestStopped = new HashMap<>();
@@ -94,7 +97,7 @@
     void advance(long newNow, WorkPlacer placer) {
         now = newNow;
         List.copyOf(running.entrySet()).stream()
-                .filter(run -> !hangs && run.getValue() + workOf(run.getKey()) <= now)
+                .filter(run -> !hangs && !endsWhenReleased && run.getValue() + workOf(run.getKey()) <= now)
                 .forEach(run -> end(run.getKey(), endKind));
         if (!connected || connection == null) {
             return;
@@ -135,7 +138,7 @@
         List<RunningTask> tasks = running.entrySet().stream()
                 .map(run -> {
                     int split = run.getKey().indexOf('#');
-                    int percent = hangs ? 0 : (int) ((now - run.getValue()) * 100 / workOf(run.getKey()));
+                    int percent = hangs ? 0 : (int) Math.min(100, (now - run.getValue()) * 100 / workOf(run.getKey()));
                     return new RunningTask(
                             run.getKey().substring(0, split),
                             Integer.parseInt(run.getKey().substring(split + 1)),
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -211,6 +211,20 @@
         assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
     }
 
+    @Test
+    void members_of_a_gang_that_wait_for_the_slowest_are_not_taken_for_standing_still() {
+        FakeServer fast = scenario.server("s1", "r1");
+        scenario.server("s2", "r1");
+        scenario.work.put("job.0.0.1", 9_000L);
+        fast.endsWhenReleased = true;
+        scenario.submit("job", "normal", PlacerScenario.gang(2, 8));
+        scenario.run(8_500);
+        assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
+        fast.endsWhenReleased = false;
+        scenario.run(1_500);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+    }
+
     @Test
     void a_gang_whose_orders_are_not_answered_is_stopped_before_its_members_end_alone() {
         FakeServer mute = scenario.server("s1", "r1");
