--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -387,8 +387,8 @@
     }
 
     /**
-     * Stops runs that stand still. The members of a gang end together, so that those that are ahead stand still while
-     * they wait for the slowest: a gang stands still when none of its members moves, by the fault of the last.
+     * Stops runs that stand still. The members of a gang end together, so that those that are ahead may stand still
+     * while they wait for the slowest; only the last of them is judged.
      */
     private void moveStalledRuns(long now) {
         servers.values().stream()
@@ -398,7 +398,7 @@
                         && run.percent < COMPLETE_PERCENT
                         && now - run.progressAt > STALL_MILLISECONDS
                         && now - run.server.heardAt < WorkloadTimings.SUSPECT_MILLISECONDS)
-                .filter(run -> !run.step.gang() || isLastOfStandingGang(run, now))
+                .filter(run -> !run.step.gang() || isLastOfGang(run))
                 .toList()
                 .forEach(run -> {
                     LOGGER.info(
@@ -413,11 +413,10 @@
                 });
     }
 
-    private static boolean isLastOfStandingGang(Run run, long now) {
+    private static boolean isLastOfGang(Run run) {
         return run.step.tasks.stream()
                 .filter(member -> member.run != null)
-                .allMatch(member ->
-                        now - member.run.progressAt > STALL_MILLISECONDS && member.run.percent >= run.percent);
+                .allMatch(member -> member.run.percent >= run.percent);
     }
 
     private void updateMaximumAttempts(JobState job) {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -225,6 +225,18 @@
         assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
     }
 
+    @Test
+    void a_member_of_a_gang_that_stands_still_is_noticed_while_the_others_move() {
+        FakeServer hanging = scenario.server("s1", "r1");
+        hanging.hangs = true;
+        scenario.server("s2", "r1");
+        scenario.work.put("job.0.0.0", 30_000L);
+        scenario.work.put("job.0.0.1", 30_000L);
+        scenario.submit("job", "normal", PlacerScenario.gang(2, 8));
+        scenario.run(5_500);
+        assertThat(scenario.starts("job.0.0.0")).isAtLeast(2);
+    }
+
     @Test
     void a_gang_whose_orders_are_not_answered_is_stopped_before_its_members_end_alone() {
         FakeServer mute = scenario.server("s1", "r1");
