--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
@@ -20,6 +20,7 @@
 final class Entitlements {
     private final WorkloadConfiguration configuration;
     private final Set<JobState> entitled = new HashSet<>();
+    private int urgentAccelerators;
 
     Entitlements(Collection<JobState> jobs, WorkloadConfiguration configuration) {
         this.configuration = configuration;
@@ -30,6 +31,7 @@
                 .toList();
         for (JobState job : urgent) {
             int need = accelerators(job);
+            urgentAccelerators += need;
             int available = left.getOrDefault(job.specification.team(), 0);
             if (need <= available) {
                 left.put(job.specification.team(), available - need);
@@ -38,6 +40,11 @@
         }
     }
 
+    /** Accelerators that all jobs of priority 0 use and ask for. */
+    int urgentAccelerators() {
+        return urgentAccelerators;
+    }
+
     boolean isEntitled(JobState job) {
         return entitled.contains(job);
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -26,6 +26,9 @@
      */
     private static final long PATIENCE_MILLISECONDS = 600;
 
+    /** Work of other priorities leaves the reserve alone this long, a fraction of the time that it has in reserve. */
+    private static final long RESERVE_PATIENCE_MILLISECONDS = 5_000;
+
     /** Work thrown away is little up to this share of the urgent job's own work. */
     private static final double SMALL_LOSS = 0.1;
 
@@ -40,6 +43,7 @@
     private final long now;
     private final long wall;
     private final Room room;
+    private final UrgentReserve reserve;
 
     /** What a pass decides. */
     interface Actions {
@@ -54,6 +58,7 @@
             Collection<JobState> jobs,
             Collection<ServerState> servers,
             WorkloadConfiguration configuration,
+            UrgentReserve reserve,
             Actions actions,
             long now,
             long wall) {
@@ -65,11 +70,13 @@
         this.now = now;
         this.wall = wall;
         this.room = new Room(servers, now);
+        this.reserve = reserve;
     }
 
     private record Candidate(JobState job, QueueSettings queue, boolean entitled) {}
 
     void run() {
+        reserve.observe(entitlements.urgentAccelerators(), now);
         jobs.stream()
                 .filter(job -> !job.phase.isFinal())
                 .flatMap(job -> configuration
@@ -106,9 +113,22 @@
         room.nextStep();
     }
 
+    /** Work that loses much when it is stopped stays out of the reserve, unless it has waited long. */
+    private boolean mustLeaveReserve(Candidate candidate, StepState step) {
+        if (candidate.queue().priority() == 0
+                || step.specification.checkpointing()
+                || now - step.readySince > RESERVE_PATIENCE_MILLISECONDS) {
+            return false;
+        }
+        long waiting = step.gang() ? step.tasks.size() : 1;
+        return room.freeAccelerators()
+                        - waiting * step.specification.resources().accelerators()
+                < reserve.accelerators();
+    }
+
     private boolean placeGang(Candidate candidate, StepState step) {
         boolean allFree = step.tasks.stream().allMatch(task -> task.waits() && task.notBefore <= now);
-        if (!allFree) {
+        if (!allFree || mustLeaveReserve(candidate, step)) {
             return false;
         }
         Optional<Map<TaskState, ServerState>> placement =
@@ -126,8 +146,9 @@
                 .toList();
         boolean all = true;
         for (TaskState task : waiting) {
-            Optional<ServerState> server =
-                    ServerChoice.forTask(room, candidate.queue().service(), step, task, now);
+            Optional<ServerState> server = mustLeaveReserve(candidate, step)
+                    ? Optional.empty()
+                    : ServerChoice.forTask(room, candidate.queue().service(), step, task, now);
             if (server.isEmpty()) {
                 all = false;
                 break;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Room.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Room.java
@@ -41,6 +41,13 @@
         return free.getOrDefault(server, Resources.NONE);
     }
 
+    /** Free accelerators of all usable servers. */
+    int freeAccelerators() {
+        return free.values().stream()
+                .mapToInt(room -> Math.max(0, room.accelerators()))
+                .sum();
+    }
+
     void take(ServerState server, Resources resources) {
         free.computeIfPresent(server, (key, room) -> room.minus(resources));
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -59,6 +59,7 @@
     private final Restoration restoration;
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
     private final Map<String, ServerState> servers = new TreeMap<>();
+    private final UrgentReserve reserve = new UrgentReserve();
     private WorkloadConfiguration configuration;
     private long pendingPublishedAt;
     private long passedAt;
@@ -239,6 +240,7 @@
                                 jobs.values(),
                                 servers.values(),
                                 configuration,
+                                reserve,
                                 new PassActions(now),
                                 now,
                                 effects.wallMilliseconds())
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -176,6 +176,30 @@
         assertThat(scenario.servers.get("s1").running.keySet()).containsExactly("high.0.0.0#1");
     }
 
+    @Test
+    void room_that_urgent_jobs_used_lately_is_kept_from_work_that_a_stop_would_lose() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.submit("first", "urgent", PlacerScenario.gang(1, 6));
+        scenario.run(1_500);
+        scenario.submit("low", "batch", PlacerScenario.step(8, 1));
+        scenario.run(500);
+        assertThat(server.running).hasSize(2);
+        scenario.submit("second", "urgent", PlacerScenario.gang(1, 6));
+        scenario.run(200);
+        assertThat(server.running.keySet()).contains("second.0.0.0#1");
+    }
+
+    @Test
+    void the_reserve_for_urgent_jobs_does_not_starve_other_work() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.submit("first", "urgent", PlacerScenario.gang(1, 6));
+        scenario.run(1_500);
+        scenario.work.put("low.0.0.0", 30_000L);
+        scenario.submit("low", "batch", PlacerScenario.step(1, 8));
+        scenario.run(5_500);
+        assertThat(server.running.keySet()).containsExactly("low.0.0.0#1");
+    }
+
     @Test
     void a_cancelled_job_stops_and_starts_nothing_more() {
         FakeServer server = scenario.server("s1", "r1");
