--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/http/HttpFront.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/HttpFront.java
@@ -11,7 +11,7 @@
 import io.vertx.ext.web.handler.BodyHandler;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 
 /**
  * The HTTP server of an entry. Every route authenticates before it reads a body; every refusal is a problem document.
@@ -30,13 +30,13 @@
     private final Vertx vertx;
     private final HttpSettings settings;
     private final CoreGateway gateway;
-    private final EntryMetrics metrics;
+    private final ProcessMetrics metrics;
     private final AtomicInteger openRequests = new AtomicInteger();
     private volatile long lastRequestNanoseconds = System.nanoTime();
     private HttpServer server;
 
     /** A front that is not yet listening. */
-    public HttpFront(Vertx vertx, HttpSettings settings, CoreGateway gateway, EntryMetrics metrics) {
+    public HttpFront(Vertx vertx, HttpSettings settings, CoreGateway gateway, ProcessMetrics metrics) {
         this.vertx = vertx;
         this.settings = settings;
         this.gateway = gateway;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/http/OperatorHandlers.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/OperatorHandlers.java
@@ -3,7 +3,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.ext.web.RoutingContext;
 import java.util.function.Consumer;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.protocol.message.ConfigurationChange;
@@ -20,9 +20,9 @@
 
     private final RequestHandlers requests;
     private final CoreGateway gateway;
-    private final EntryMetrics metrics;
+    private final ProcessMetrics metrics;
 
-    OperatorHandlers(RequestHandlers requests, CoreGateway gateway, EntryMetrics metrics) {
+    OperatorHandlers(RequestHandlers requests, CoreGateway gateway, ProcessMetrics metrics) {
         this.requests = requests;
         this.gateway = gateway;
         this.metrics = metrics;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/metrics/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Metrics of the entry process. */
-package org.teaselwood.entry.metrics;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ConfigurationWatch.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ConfigurationWatch.java
@@ -6,7 +6,7 @@
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
 import org.teaselwood.entry.core.EntryEvent;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.store.KeyValue;
 import org.teaselwood.store.KeyValueService;
 
@@ -22,7 +22,7 @@
     private final Vertx vertx;
     private final KeyValueService service;
     private final EventSink sink;
-    private final EntryMetrics metrics;
+    private final ProcessMetrics metrics;
     private AutoCloseable watch;
     private boolean closed;
     /** Whether the present outage was logged; one is enough. */
@@ -30,7 +30,7 @@
     /** Rises with every opening, so that a late report of an earlier watch is not taken for the present one. */
     private long generation;
 
-    ConfigurationWatch(Vertx vertx, KeyValueService service, EventSink sink, EntryMetrics metrics) {
+    ConfigurationWatch(Vertx vertx, KeyValueService service, EventSink sink, ProcessMetrics metrics) {
         this.vertx = vertx;
         this.service = service;
         this.sink = sink;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryLinks.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryLinks.java
@@ -12,7 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.entry.core.EntryEvent;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.protocol.MessageConnection;
 import org.teaselwood.protocol.SharedKey;
@@ -34,7 +34,7 @@
     private final Vertx vertx;
     private final InternalSettings settings;
     private final SharedKey key;
-    private final EntryMetrics metrics;
+    private final ProcessMetrics metrics;
     private final AtomicLong numbers = new AtomicLong();
     private final Map<Long, MessageConnection> links = new ConcurrentHashMap<>();
     private final AtomicLong closedBytesSent = new AtomicLong();
@@ -43,7 +43,7 @@
     private NetClient client;
     private volatile EventSink sink;
 
-    EntryLinks(Vertx vertx, InternalSettings settings, EntryMetrics metrics) {
+    EntryLinks(Vertx vertx, InternalSettings settings, ProcessMetrics metrics) {
         this.vertx = vertx;
         this.settings = settings;
         this.key = settings.sharedKey();
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryProcess.java
@@ -8,7 +8,7 @@
 import org.slf4j.LoggerFactory;
 import org.teaselwood.entry.core.EntryEvent;
 import org.teaselwood.entry.http.HttpFront;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.protocol.MonotonicClock;
 import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
 import org.teaselwood.store.KeyValueService;
@@ -27,7 +27,7 @@
     private final Vertx vertx;
     private final ProcessSettings settings;
     private final KeyValueService service;
-    private final EntryMetrics metrics = new EntryMetrics();
+    private final ProcessMetrics metrics = new ProcessMetrics();
     private final FrontGateway gateway;
     private final EntryLinks links;
     private final HttpFront front;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryRegistration.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryRegistration.java
@@ -10,7 +10,7 @@
 import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
 import org.teaselwood.store.KeyValue;
 import org.teaselwood.store.KeyValueOperation;
@@ -32,7 +32,7 @@
     private final String region;
     private final EntryAddress self;
     private final Duration timeout;
-    private final EntryMetrics metrics;
+    private final ProcessMetrics metrics;
     /** 0 while there is none. */
     private volatile long lease;
 
@@ -44,7 +44,7 @@
             String region,
             EntryAddress self,
             Duration timeout,
-            EntryMetrics metrics) {
+            ProcessMetrics metrics) {
         this.vertx = vertx;
         this.service = service;
         this.region = region;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EventSink.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EventSink.java
@@ -2,7 +2,7 @@
 
 import io.vertx.core.Vertx;
 import org.teaselwood.entry.core.EntryEvent;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.protocol.DutyThread;
 import org.teaselwood.protocol.MonotonicClock;
 
@@ -19,12 +19,12 @@
     private static final long RETRY_MILLISECONDS = 20;
 
     private final Vertx vertx;
-    private final EntryMetrics metrics;
+    private final ProcessMetrics metrics;
     private final DutyThread<EntryEvent> thread;
     private volatile CoreFactory.Core core = (event, now) -> {};
     private volatile boolean closed;
 
-    EventSink(Vertx vertx, String name, MonotonicClock clock, EntryMetrics metrics) {
+    EventSink(Vertx vertx, String name, MonotonicClock clock, ProcessMetrics metrics) {
         this.vertx = vertx;
         this.metrics = metrics;
         this.thread = new DutyThread<>(name, CAPACITY, TICK_MILLISECONDS, clock, new DutyThread.Handler<>() {
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/FrontGateway.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/FrontGateway.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.teaselwood.entry.core.EntryEvent;
 import org.teaselwood.entry.http.CoreGateway;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.protocol.message.FrontReply;
 import org.teaselwood.protocol.message.FrontRequest;
@@ -29,7 +29,7 @@
     private volatile EventSink sink;
     private volatile Readiness readiness = new Readiness(false, "starting", false);
 
-    FrontGateway(Vertx vertx, EntryMetrics metrics) {
+    FrontGateway(Vertx vertx, ProcessMetrics metrics) {
         this.vertx = vertx;
         metrics.gauge("open.calls", calls, Map::size);
         metrics.gauge("ready", this, gateway -> gateway.readiness().ready() ? 1 : 0);
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ProcessEffects.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/ProcessEffects.java
@@ -5,7 +5,7 @@
 import org.slf4j.spi.LoggingEventBuilder;
 import org.teaselwood.entry.core.EntryEffects;
 import org.teaselwood.entry.core.StoreCall;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
 import org.teaselwood.protocol.message.FrontReply;
 import org.teaselwood.protocol.message.Message;
@@ -17,10 +17,11 @@
     private final EntryLinks links;
     private final FrontGateway gateway;
     private final StoreCaller store;
-    private final EntryMetrics metrics;
+    private final ProcessMetrics metrics;
     private final Runnable drained;
 
-    ProcessEffects(EntryLinks links, FrontGateway gateway, StoreCaller store, EntryMetrics metrics, Runnable drained) {
+    ProcessEffects(
+            EntryLinks links, FrontGateway gateway, StoreCaller store, ProcessMetrics metrics, Runnable drained) {
         this.links = links;
         this.gateway = gateway;
         this.store = store;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/StoreCaller.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/StoreCaller.java
@@ -5,7 +5,7 @@
 import org.teaselwood.entry.core.EntryEvent;
 import org.teaselwood.entry.core.StoreCall;
 import org.teaselwood.entry.core.StoreReply;
-import org.teaselwood.entry.metrics.EntryMetrics;
+import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.store.KeyValueService;
 
 /**
@@ -15,10 +15,10 @@
 final class StoreCaller {
     private final KeyValueService service;
     private final Duration timeout;
-    private final EntryMetrics metrics;
+    private final ProcessMetrics metrics;
     private final EventSink sink;
 
-    StoreCaller(KeyValueService service, Duration timeout, EntryMetrics metrics, EventSink sink) {
+    StoreCaller(KeyValueService service, Duration timeout, ProcessMetrics metrics, EventSink sink) {
         this.service = service;
         this.timeout = timeout;
         this.metrics = metrics;
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/metrics/EntryMetrics.java
+++ b/teaselwood-metrics/src/main/java/org/teaselwood/metrics/ProcessMetrics.java
@@ -1,4 +1,4 @@
-package org.teaselwood.entry.metrics;
+package org.teaselwood.metrics;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
@@ -12,13 +12,13 @@
 import java.util.stream.Stream;
 
 /**
- * Metrics of one entry process, in Prometheus text form. Thread-safe.
+ * Metrics of one process, in Prometheus text form. Thread-safe.
  *
  * <p>Histograms have a fixed, small set of buckets: at 130 teams the percentile histograms of the library would publish
  * about 70 buckets for each series. Team names come from the configuration or from a token, never from a request, so
  * that callers cannot add series.
  */
-public final class EntryMetrics {
+public final class ProcessMetrics {
     private static final String PREFIX = "teaselwood.";
     private static final Duration[] BUCKETS = Stream.of(
                     5, 20, 100, 500, 1_000, 2_000, 5_900, 15_000, 60_000, 300_000, 1_800_000, 7_200_000, 28_800_000)
--- /dev/null
+++ b/teaselwood-metrics/src/main/java/org/teaselwood/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms of a process. */
+package org.teaselwood.metrics;
--- a/teaselwood-settings/src/main/java/org/teaselwood/settings/WorkloadSettings.java
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/WorkloadSettings.java
@@ -14,6 +14,7 @@
  * @param readiness address of the readiness check, present on an entry
  * @param announcements address on which the backend server announces itself, present beside an agent
  * @param worker address of the backend server, present beside an agent
+ * @param metrics address of the metrics, none for a process that serves none
  * @param store address of the key-value service
  * @param longestHoldMilliseconds longest lease of what runs on a backend server
  * @param gangWaitMilliseconds time after which a lone member of a gang ends
@@ -28,6 +29,7 @@
         Optional<NetworkAddress> readiness,
         Optional<NetworkAddress> announcements,
         Optional<NetworkAddress> worker,
+        Optional<NetworkAddress> metrics,
         NetworkAddress store,
         long longestHoldMilliseconds,
         long gangWaitMilliseconds,
@@ -44,9 +46,10 @@
     private static final Setting<Optional<NetworkAddress>> ANNOUNCEMENTS =
             Setting.optional("announcements", ValueTypes.address());
     private static final Setting<Optional<NetworkAddress>> WORKER = Setting.optional("worker", ValueTypes.address());
+    private static final Setting<Optional<NetworkAddress>> METRICS = Setting.optional("metrics", ValueTypes.address());
     private static final Setting<NetworkAddress> STORE = Setting.required("store", ValueTypes.address());
     private static final SectionSchema NODE =
-            SectionSchema.of(NAME, DATA_CENTRE, INTERNAL, CALLERS, READINESS, ANNOUNCEMENTS, WORKER, STORE);
+            SectionSchema.of(NAME, DATA_CENTRE, INTERNAL, CALLERS, READINESS, ANNOUNCEMENTS, WORKER, METRICS, STORE);
 
     private static final Setting<Long> LONGEST_HOLD =
             Setting.required("longest-hold", ValueTypes.duration(1, HOUR_MILLISECONDS));
@@ -83,6 +86,7 @@
                 node.get(READINESS),
                 node.get(ANNOUNCEMENTS),
                 node.get(WORKER),
+                node.get(METRICS),
                 node.get(STORE),
                 bounds.get(LONGEST_HOLD),
                 bounds.get(GANG_WAIT),
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -35,6 +35,7 @@
     private final KeyValueService store;
     private final WorkloadTimings timings;
     private final LongConsumer termLost;
+    private final JobTimes times;
     private DutyThread<PlacerEvent> thread;
     private WorkloadConfiguration configuration;
     private final List<KeyValue> early = new ArrayList<>();
@@ -42,7 +43,8 @@
     private long loadAt;
     private WorkPlacer placer;
 
-    PlacerDuty(KeyValueService store, WorkloadTimings timings, LongConsumer termLost) {
+    PlacerDuty(KeyValueService store, WorkloadTimings timings, JobTimes times, LongConsumer termLost) {
+        this.times = times;
         this.store = store;
         this.timings = timings;
         this.termLost = termLost;
@@ -143,6 +145,11 @@
                         failure -> LOGGER.debug("the waiting jobs were not published: {}", failure.getMessage()));
     }
 
+    @Override
+    public void measured(String name, String team, String queue, long milliseconds) {
+        times.measured(name, team, queue, milliseconds);
+    }
+
     @Override
     public long wallMilliseconds() {
         return System.currentTimeMillis();
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
@@ -45,12 +45,13 @@
             KeyValueService store,
             SharedKey key,
             TermElection.Candidate candidate,
-            WorkloadTimings timings) {
+            WorkloadTimings timings,
+            JobTimes times) {
         this.vertx = vertx;
         this.store = store;
         this.key = key;
         this.candidate = candidate;
-        this.duty = new PlacerDuty(store, timings, term -> vertx.runOnContext(ignored -> termLost(term)));
+        this.duty = new PlacerDuty(store, timings, times, term -> vertx.runOnContext(ignored -> termLost(term)));
         this.duty.runOn(new DutyThread<>("placer", RING_EVENTS, TICK_MILLISECONDS, clock, duty));
         this.election = new TermElection(vertx, clock, store, candidate, new TermElection.Listener() {
             @Override
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobState.java
@@ -24,6 +24,10 @@
     final long acceptedRevision;
 
     final List<StepState> steps;
+
+    /** When this placer learned of the job, in milliseconds; negative for one that a former placer had progressed. */
+    long acceptedAt = -1;
+
     JobPhase phase = JobPhase.QUEUED;
     boolean cancelRequested;
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacerEffects.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacerEffects.java
@@ -21,6 +21,9 @@
     /** Publishes the number of waiting jobs by queue; may be lost. */
     void publishPending(Map<String, Integer> pending);
 
+    /** A time of a job was measured, such as its wait or its completion; in milliseconds. */
+    void measured(String name, String team, String queue, long milliseconds);
+
     /** The time of day, in milliseconds since 1970. */
     long wallMilliseconds();
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
@@ -17,13 +17,21 @@
 
     private final long term;
     private final JobWrites writes;
+    private final PlacerEffects effects;
     private boolean changed = true;
 
-    Runs(long term, JobWrites writes) {
+    Runs(long term, JobWrites writes, PlacerEffects effects) {
+        this.effects = effects;
         this.term = term;
         this.writes = writes;
     }
 
+    private void measure(String name, JobState job, long now) {
+        if (job.acceptedAt >= 0) {
+            effects.measured(name, job.specification.team(), job.specification.queue(), now - job.acceptedAt);
+        }
+    }
+
     /** Whether room or waiting work may have changed since the last call. */
     boolean takeChanged() {
         boolean result = changed;
@@ -43,6 +51,7 @@
         server.runs.put(run.key(), run);
         if (job.phase == JobPhase.QUEUED) {
             job.phase = JobPhase.RUNNING;
+            measure("wait", job, now);
         }
         writes.changed(job);
         job.whenStored(() -> order(run));
@@ -135,6 +144,7 @@
     void finish(JobState job, JobPhase phase, long now) {
         job.phase = phase;
         LOGGER.info("job {} is {}", job.id(), phase);
+        measure(phase == JobPhase.COMPLETED ? "completion" : "end", job, now);
         writes.changed(job);
         if (phase != JobPhase.COMPLETED) {
             new ArrayList<>(job.runs().toList()).forEach(run -> stop(run, now));
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -71,7 +71,7 @@
         this.configuration = configuration;
         this.effects = effects;
         this.writes = new JobWrites(effects);
-        this.runs = new Runs(term, writes);
+        this.runs = new Runs(term, writes, effects);
         this.ends = new Ends(jobs, writes, runs);
         this.restoration = new Restoration(servers);
     }
@@ -93,6 +93,9 @@
         JobState job = new JobState(specification, revision);
         jobs.put(job.id(), job);
         updateMaximumAttempts(job);
+        if (record.isEmpty()) {
+            job.acceptedAt = now;
+        }
         record.ifPresent(stored -> restoration.restore(job, stored, now));
         runs.markChanged();
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -27,6 +27,7 @@
     final Map<String, StoredValue> store = new HashMap<>();
     final Map<String, JobSpecification> accepted = new TreeMap<>();
     final Map<String, Long> work = new HashMap<>();
+    final List<String> measured = new ArrayList<>();
     Map<String, Integer> pending = Map.of();
 
     /** Whether writes reach the store. */
@@ -181,6 +182,11 @@
         pending = counts;
     }
 
+    @Override
+    public void measured(String name, String team, String queue, long milliseconds) {
+        measured.add(name + " " + queue);
+    }
+
     @Override
     public long wallMilliseconds() {
         return now;
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -302,6 +302,14 @@
         assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
     }
 
+    @Test
+    void the_wait_and_the_completion_of_a_job_are_measured_once() {
+        scenario.server("s1", "r1");
+        scenario.submit("job", "normal", PlacerScenario.step(2, 1));
+        scenario.run(3_000);
+        assertThat(scenario.measured).containsExactly("wait normal", "completion normal");
+    }
+
     @Test
     void waiting_jobs_are_counted_by_queue() {
         scenario.submit("job", "normal", PlacerScenario.step(1, 1));
