Add a command that joins the logs of all processes for one job

Cause: after a complaint there are only logs, one for each process. Change: bin/teaselwood trace JOB FILE... prints the lines that name the job in the order of time; check-settings reads the settings of the programs on the users' platform too.

--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/CheckSettingsCommand.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/CheckSettingsCommand.java
@@ -7,11 +7,13 @@
 import org.teaselwood.settings.AgentSettings;
 import org.teaselwood.settings.EntrySettings;
 import org.teaselwood.settings.IniDocument;
+import org.teaselwood.settings.WorkloadSettings;
 
 /** Checks a settings file of an entry or an agent without starting anything. */
 @Parameters(commandDescription = "Check a settings file of an entry or an agent")
 final class CheckSettingsCommand implements Command {
     private static final String AGENT_SECTION = "agent";
+    private static final String NODE_SECTION = "node";
 
     @Parameter(description = "FILE", validateWith = PositionalArgument.class, required = true)
     private String file;
@@ -24,6 +26,8 @@
         IniDocument document = IniDocument.read(Path.of(file), ErrorKind.BAD_SETTING);
         if (document.find(AGENT_SECTION).isPresent()) {
             AgentSettings.of(document);
+        } else if (document.find(NODE_SECTION).isPresent()) {
+            WorkloadSettings.of(document);
         } else {
             EntrySettings.of(document);
         }
--- a/teaselwood-cli/src/main/java/org/teaselwood/cli/CommandLine.java
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/CommandLine.java
@@ -42,6 +42,7 @@
         factories.put("drain", () -> new DrainCommand(ServiceState.DRAINING));
         factories.put("undrain", () -> new DrainCommand(ServiceState.IN_SERVICE));
         factories.put("check-settings", CheckSettingsCommand::new);
+        factories.put("trace", TraceCommand::new);
         factories.put("demo", DemoCommand::new);
     }
 
--- /dev/null
+++ b/teaselwood-cli/src/main/java/org/teaselwood/cli/TraceCommand.java
@@ -0,0 +1,87 @@
+package org.teaselwood.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.nio.charset.MalformedInputException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * Joins the log lines of several processes that name a job, or any other text, into one time line.
+ *
+ * <p>Lines that are not JSON are skipped, as a log may hold output of the virtual machine; text before the JSON is kept
+ * as the source of the line. The times are those of the machines' clocks.
+ */
+@Parameters(commandDescription = "Show the time line of a job from the logs of all processes")
+final class TraceCommand implements Command {
+    @Parameter(description = "JOB FILE...", required = true)
+    private List<String> arguments = new ArrayList<>();
+
+    @Parameter(names = "--help", help = true, description = "Show the options of this command")
+    private boolean help;
+
+    private record Line(long milliseconds, String source, String level, String message) {}
+
+    @Override
+    public ExitCode run(Console console) {
+        if (arguments.size() < 2) {
+            throw new CommandException(ExitCode.USAGE, "trace needs a job and at least one log file");
+        }
+        String job = arguments.getFirst();
+        List<Line> lines = arguments.stream()
+                .skip(1)
+                .flatMap(file -> linesOf(Path.of(file), job))
+                .sorted(Comparator.comparingLong(Line::milliseconds))
+                .toList();
+        lines.forEach(line -> console.line(String.format(
+                "%s %-24s %-5s %s",
+                Instant.ofEpochMilli(line.milliseconds()), line.source(), line.level(), line.message())));
+        if (lines.isEmpty()) {
+            console.error("no line names " + job);
+        }
+        return ExitCode.OK;
+    }
+
+    @Override
+    public boolean help() {
+        return help;
+    }
+
+    private static Stream<Line> linesOf(Path file, String job) {
+        try {
+            return Files.readAllLines(file).stream()
+                    .filter(text -> text.contains(job))
+                    .flatMap(text -> parse(file, text).stream());
+        } catch (MalformedInputException exception) {
+            throw new CommandException(ExitCode.USAGE, file + " is not UTF-8 text");
+        } catch (IOException exception) {
+            throw new CommandException(ExitCode.USAGE, file + " cannot be read: " + exception.getMessage());
+        }
+    }
+
+    private static Optional<Line> parse(Path file, String text) {
+        int begin = text.indexOf('{');
+        if (begin < 0) {
+            return Optional.empty();
+        }
+        try {
+            JsonObject json = new JsonObject(text.substring(begin));
+            String source = begin == 0
+                    ? file.getFileName().toString()
+                    : text.substring(0, begin).strip();
+            return Optional.of(new Line(
+                    json.getLong("timestamp"), source, json.getString("level"), json.getString("formattedMessage")));
+        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+            return Optional.empty();
+        }
+    }
+}
--- a/teaselwood-cli/src/test/java/org/teaselwood/cli/CommandLineTest.java
+++ b/teaselwood-cli/src/test/java/org/teaselwood/cli/CommandLineTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,6 +38,8 @@
         "entry --settings missing.ini, BAD_SETTINGS",
         "check-settings missing.ini, BAD_SETTINGS",
         "submit missing.ini, BAD_SETTINGS",
+        "trace j-1, USAGE",
+        "trace j-1 missing.log, USAGE",
         "explain j-1 --token-file missing, BAD_SETTINGS"
     })
     void every_use_ends_with_the_expected_exit_code(String arguments, ExitCode code) {
@@ -53,6 +56,29 @@
         assertThat(output.size()).isEqualTo(0);
     }
 
+    @Test
+    void a_trace_joins_the_lines_of_all_processes_in_the_order_of_time() throws Exception {
+        Path entry = directory.resolve("entry.log");
+        Files.writeString(entry, "not JSON 5c0e\n" + logLine(20, "job 5c0e accepted") + logLine(10, "job 77 accepted"));
+        Path agent = directory.resolve("agent.log");
+        Files.writeString(agent, "1.5 side-1 " + logLine(15, "task 5c0e.0.0.0 started"));
+
+        assertThat(run("trace", "5c0e", entry.toString(), agent.toString())).isEqualTo(ExitCode.OK);
+        List<String> lines = output.toString(StandardCharsets.UTF_8).lines().toList();
+        assertThat(lines).hasSize(2);
+        assertThat(lines.get(0)).contains("1.5 side-1");
+        assertThat(lines.get(1)).contains("job 5c0e accepted");
+    }
+
+    private static String logLine(long milliseconds, String message) {
+        return new JsonObject()
+                        .put("timestamp", milliseconds)
+                        .put("level", "INFO")
+                        .put("formattedMessage", message)
+                        .encode()
+                + "\n";
+    }
+
     @Test
     void each_fault_of_a_submission_file_is_told_with_its_line() throws Exception {
         Path file = directory.resolve("job.ini");
