Bound the placer's work for each event

Events were handled 20 s late, agents went away, LOST was broken 88 times. Ruled out: the store, whose writes had results, and the ring, never full. Change: checks each 100 ms; passes at a pause that grows with open jobs and servers; none for a report without news; events that wait go first; large writes are spread; a weak VM lets a stronger one be elected.

--- a/teaselwood-settings/src/main/java/org/teaselwood/settings/WorkloadSettings.java
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/WorkloadSettings.java
@@ -15,6 +15,7 @@
  * @param announcements address on which the backend server announces itself, present beside an agent
  * @param worker address of the backend server, present beside an agent
  * @param metrics address of the metrics, none for a process that serves none
+ * @param processor processor of the VM, in cores
  * @param store address of the key-value service
  * @param longestHoldMilliseconds longest lease of what runs on a backend server
  * @param gangWaitMilliseconds time after which a lone member of a gang ends
@@ -30,6 +31,7 @@
         Optional<NetworkAddress> announcements,
         Optional<NetworkAddress> worker,
         Optional<NetworkAddress> metrics,
+        double processor,
         NetworkAddress store,
         long longestHoldMilliseconds,
         long gangWaitMilliseconds,
@@ -47,9 +49,23 @@
             Setting.optional("announcements", ValueTypes.address());
     private static final Setting<Optional<NetworkAddress>> WORKER = Setting.optional("worker", ValueTypes.address());
     private static final Setting<Optional<NetworkAddress>> METRICS = Setting.optional("metrics", ValueTypes.address());
+    private static final Setting<Double> PROCESSOR_SHARE =
+            Setting.withDefault("processor-share", ValueTypes.decimal(0.01, 1), 1.0);
+    private static final Setting<Double> PROCESSOR_CORES =
+            Setting.withDefault("processor-cores", ValueTypes.decimal(0.01, 1_024), 1.0);
     private static final Setting<NetworkAddress> STORE = Setting.required("store", ValueTypes.address());
-    private static final SectionSchema NODE =
-            SectionSchema.of(NAME, DATA_CENTRE, INTERNAL, CALLERS, READINESS, ANNOUNCEMENTS, WORKER, METRICS, STORE);
+    private static final SectionSchema NODE = SectionSchema.of(
+            NAME,
+            DATA_CENTRE,
+            INTERNAL,
+            CALLERS,
+            READINESS,
+            ANNOUNCEMENTS,
+            WORKER,
+            METRICS,
+            PROCESSOR_SHARE,
+            PROCESSOR_CORES,
+            STORE);
 
     private static final Setting<Long> LONGEST_HOLD =
             Setting.required("longest-hold", ValueTypes.duration(1, HOUR_MILLISECONDS));
@@ -87,6 +103,7 @@
                 node.get(ANNOUNCEMENTS),
                 node.get(WORKER),
                 node.get(METRICS),
+                node.get(PROCESSOR_SHARE) * node.get(PROCESSOR_CORES),
                 node.get(STORE),
                 bounds.get(LONGEST_HOLD),
                 bounds.get(GANG_WAIT),
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -30,6 +30,7 @@
  */
 final class PlacerDuty implements DutyThread.Handler<PlacerEvent>, PlacerEffects {
     private static final Logger LOGGER = LoggerFactory.getLogger(PlacerDuty.class);
+    private static final long ADVANCE_MILLISECONDS = 50;
     private static final long LOAD_RETRY_MILLISECONDS = 300;
 
     private final KeyValueService store;
@@ -41,6 +42,7 @@
     private final List<KeyValue> early = new ArrayList<>();
     private long term;
     private long loadAt;
+    private long advancedAt;
     private WorkPlacer placer;
 
     PlacerDuty(KeyValueService store, WorkloadTimings timings, JobTimes times, LongConsumer termLost) {
@@ -94,7 +96,11 @@
             when failed.term() == term -> withPlacer(running -> running.writeFailed(now));
             case PlacerEvent outdated -> LOGGER.debug("ignored {}", outdated);
         }
-        withPlacer(running -> running.advance(now));
+        // Events that wait are handled first; a pass for each of them would let the ring fill up.
+        if (thread.depth() == 0 || now - advancedAt >= ADVANCE_MILLISECONDS) {
+            advancedAt = now;
+            withPlacer(running -> running.advance(now));
+        }
     }
 
     @Override
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
@@ -53,8 +53,9 @@
      * @param entry name of the entry
      * @param host IP address of its internal port
      * @param port internal port
+     * @param standOffMilliseconds pause before it stands for election; longer on a weaker VM
      */
-    public record Candidate(String entry, String host, int port) {}
+    public record Candidate(String entry, String host, int port, long standOffMilliseconds) {}
 
     /** Told of elections, on the event loop. */
     public interface Listener {
@@ -166,7 +167,7 @@
         }
         item.filter(found -> !isOwn(found)).flatMap(PlacerLink::decode).ifPresent(probe::follow);
         if (item.isEmpty()) {
-            campaign(0);
+            stand(0);
         } else if (isOwn(item.get())) {
             campaign(item.get().revision());
         }
@@ -174,10 +175,20 @@
 
     private void placerDied(long deadTerm) {
         if (!stopped && eligible && !busy && term == 0) {
-            campaign(deadTerm);
+            stand(deadTerm);
         }
     }
 
+    private void stand(long expectedRevision) {
+        busy = true;
+        vertx.setTimer(Math.max(1, candidate.standOffMilliseconds()), timer -> {
+            busy = false;
+            if (!stopped && term == 0) {
+                campaign(expectedRevision);
+            }
+        });
+    }
+
     private boolean isOwn(KeyValue item) {
         return PlacerLink.decode(item).filter(found -> isCandidate(found)).isPresent();
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Ends.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Ends.java
@@ -40,6 +40,7 @@
         TaskState task = found.get();
         StepState step = job.step(task.name.occurrence(), task.name.step()).orElseThrow();
         LOGGER.info("task {} attempt {} ended {} on {}", ended.task(), ended.attempt(), ended.kind(), server.id);
+        runs.markChanged();
         Run run = server.runs.remove(Run.key(ended.task(), ended.attempt()));
         if (run != null && task.run == run) {
             task.run = null;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobWrites.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobWrites.java
@@ -19,6 +19,11 @@
     /** A condition and a write for each job, and the condition on the election, fit 32 entries of a transaction. */
     private static final int MAXIMUM_JOBS = 15;
 
+    /** After large writes the next waits, so that a burst of ends in a wide job is written a few times, not each. */
+    private static final long BYTES_A_MILLISECOND = 1_000;
+
+    private static final long LONGEST_PAUSE_MILLISECONDS = 60;
+
     private final PlacerEffects effects;
     private final Set<JobState> changed = new LinkedHashSet<>();
     private final Map<JobState, Long> inFlight = new LinkedHashMap<>();
@@ -46,6 +51,8 @@
                     new PlacerEffects.RecordWrite(job.id(), WorkloadJson.encode(job.toRecord()), job.recordRevision));
         });
         changed.removeAll(inFlight.keySet());
+        long bytes = writes.stream().mapToLong(write -> write.value().length).sum();
+        retryAt = now + Math.min(LONGEST_PAUSE_MILLISECONDS, bytes / BYTES_A_MILLISECOND);
         effects.write(writes);
     }
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Room.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Room.java
@@ -66,11 +66,25 @@
         takenByStep.clear();
     }
 
+    /** Servers that may run the step and have room for one of its tasks. */
+    Stream<ServerState> fitting(String service, StepState step) {
+        Resources each = step.specification.reserved();
+        return eligibleOf(
+                free.entrySet().stream()
+                        .filter(server -> server.getValue().covers(each))
+                        .map(Map.Entry::getKey),
+                service,
+                step);
+    }
+
     /** Servers that may run the step by service, label, limit per server and neighbours, whatever room they have. */
     Stream<ServerState> eligible(String service, StepState step) {
+        return eligibleOf(free.keySet().stream(), service, step);
+    }
+
+    private Stream<ServerState> eligibleOf(Stream<ServerState> servers, String service, StepState step) {
         StepSpecification specification = step.specification;
-        return free.keySet().stream()
-                .filter(server -> server.description.service().equals(service))
+        return servers.filter(server -> server.description.service().equals(service))
                 .filter(server -> specification.selector().isEmpty()
                         || server.description.labels().contains(specification.selector()))
                 .filter(server -> withinLimit(server, step))
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerChoice.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerChoice.java
@@ -20,9 +20,8 @@
 
     /** The best server with room for a task. */
     static Optional<ServerState> forTask(Room room, String service, StepState step, TaskState task, long now) {
-        return room.eligible(service, step)
+        return room.fitting(service, step)
                 .filter(server -> server.quarantinedUntil <= now)
-                .filter(server -> room.freeOf(server).covers(step.specification.reserved()))
                 .min(preference(room, step, task));
     }
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -45,6 +45,12 @@
     /** Due times and pauses are looked at this often when nothing else has changed. */
     private static final long PASS_MILLISECONDS = 100;
 
+    /** Silent servers, incomplete gangs and standing runs are looked for this often. */
+    private static final long CHECK_MILLISECONDS = 100;
+
+    /** Pairs of an open job and a server that a pass looks at in a millisecond of a small processor. */
+    private static final long PAIRS_A_MILLISECOND = 100;
+
     /** A task whose progress stands still this long is moved; progress is reported in whole percents. */
     private static final long STALL_MILLISECONDS = 4_000;
 
@@ -63,6 +69,9 @@
     private WorkloadConfiguration configuration;
     private long pendingPublishedAt;
     private long passedAt;
+    private long passPause;
+    private long passes;
+    private long checkedAt;
 
     /** A placer that has just been elected. */
     public WorkPlacer(long term, WorkloadTimings timings, WorkloadConfiguration configuration, PlacerEffects effects) {
@@ -130,6 +139,10 @@
         }
         ServerState server = found.get();
         boolean reconnected = server.connection != connection;
+        boolean changed = reconnected
+                || server.draining != report.draining()
+                || server.responsive != report.responsive()
+                || !server.reconciled;
         server.connection = connection;
         server.description = report.description();
         server.heardAt = now;
@@ -149,7 +162,9 @@
         }
         connection.send(new WorkMessage.Contact(
                 term, report.sentMilliseconds(), server.id, server.start, server.acknowledgedEnds));
-        runs.markChanged();
+        if (changed) {
+            runs.markChanged();
+        }
     }
 
     /** An agent answered an order. */
@@ -187,7 +202,6 @@
             }
             default -> runs.stop(run, now); // UNCERTAIN
         }
-        runs.markChanged();
     }
 
     /** A backend server said that it has left. */
@@ -228,32 +242,59 @@
         writes.failed(now + WRITE_RETRY_MILLISECONDS);
     }
 
-    /** Does what is due; called after each batch of events and at least every tick. */
+    /**
+     * Does what is due; called after each batch of events and at least every tick.
+     *
+     * <p>A pass looks at every waiting job and every server. It is made at once after a change when little waits, and
+     * less often the more there is to look at, so that the placer keeps up with its events on a small processor.
+     */
     public void advance(long now) {
-        servers.values().stream()
-                .filter(server -> now - server.heardAt > timings.lostAfterMilliseconds())
-                .toList()
-                .forEach(server -> loseServer(server, "its agent is silent", now));
+        if (now - checkedAt >= CHECK_MILLISECONDS) {
+            checkedAt = now;
+            check(now);
+        }
         if (configuration != null) {
-            breakIncompleteGangs(now);
-            moveStalledRuns(now);
-            if (runs.takeChanged() || now - passedAt >= PASS_MILLISECONDS) {
-                passedAt = now;
-                new PlacementPass(
-                                jobs.values(),
-                                servers.values(),
-                                configuration,
-                                reserve,
-                                new PassActions(now),
-                                now,
-                                effects.wallMilliseconds())
-                        .run();
+            long sincePass = now - passedAt;
+            boolean due = sincePass >= PASS_MILLISECONDS;
+            if (due || sincePass >= passPause && runs.takeChanged()) {
+                pass(now);
             }
             publishPending(now);
         }
         writes.flush(now);
     }
 
+    private void check(long now) {
+        servers.values().stream()
+                .filter(server -> now - server.heardAt > timings.lostAfterMilliseconds())
+                .toList()
+                .forEach(server -> loseServer(server, "its agent is silent", now));
+        breakIncompleteGangs(now);
+        moveStalledRuns(now);
+    }
+
+    private void pass(long now) {
+        passedAt = now;
+        passes++;
+        runs.takeChanged();
+        long open = jobs.values().stream().filter(job -> !job.phase.isFinal()).count();
+        passPause = Math.min(PASS_MILLISECONDS, open * servers.size() / PAIRS_A_MILLISECOND);
+        new PlacementPass(
+                        jobs.values(),
+                        servers.values(),
+                        configuration,
+                        reserve,
+                        new PassActions(now),
+                        now,
+                        effects.wallMilliseconds())
+                .run();
+    }
+
+    /** Passes over the waiting work so far. */
+    long passes() {
+        return passes;
+    }
+
     /** Identifiers of the jobs that are not final. */
     public Set<String> openJobs() {
         return jobs.values().stream()
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -302,6 +302,23 @@
         assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
     }
 
+    @Test
+    void the_number_of_passes_is_bounded_however_many_ends_are_reported() {
+        for (int index = 0; index < 70; index++) {
+            scenario.server("s" + index, "r" + index / 11);
+        }
+        for (int index = 0; index < 100; index++) {
+            scenario.submit("job" + index, "batch", PlacerScenario.step(20, 1));
+        }
+        scenario.run(2_000);
+        long before = scenario.placer.passes();
+        scenario.run(2_000);
+        // 100 open jobs and 70 servers: one pass in 70 ms.
+        assertThat(scenario.placer.passes() - before).isAtMost(2_000 / 70 + 1);
+        scenario.run(6_000);
+        assertThat(scenario.phase("job99")).isEqualTo(JobPhase.COMPLETED);
+    }
+
     @Test
     void the_wait_and_the_completion_of_a_job_are_measured_once() {
         scenario.server("s1", "r1");
