Play random faults against the stepped placer in virtual time

Change: PlacerFaultsTest, twenty seeds, with an oracle for double runs, overloaded servers, starts after an acknowledged success and jobs that do not end.

--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -20,10 +20,12 @@
  */
 final class FakeServer {
     private static final int REPORT_MILLISECONDS = 500;
+    private static final int STOP_MILLISECONDS = 200;
 
     final ServerDescription description;
     final Map<String, Long> running = new LinkedHashMap<>();
     final List<EndedTask> ended = new ArrayList<>();
+    final List<String> acknowledgedSuccesses = new ArrayList<>();
     final List<WorkMessage.StartTask> starts = new ArrayList<>();
 
     /** Whether the agent and the placer can reach each other. */
@@ -46,6 +48,7 @@
     long term;
     private final ToLongFunction<String> workMilliseconds;
     private final Map<String, Integer> highestStopped = new HashMap<>();
+    private final Map<String, Long> stopping = new LinkedHashMap<>();
     private final List<WorkMessage> outbox = new ArrayList<>();
     private AgentConnection connection;
     private long nextReport;
@@ -96,6 +99,16 @@
     /** Advances to a time and hands what the agent sends to the placer. */
     void advance(long newNow, WorkPlacer placer) {
         now = newNow;
+        stopping.entrySet().stream()
+                .filter(run -> run.getValue() <= now)
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(key -> {
+                    stopping.remove(key);
+                    if (running.containsKey(key)) {
+                        end(key, EndKind.STOPPED);
+                    }
+                });
         List.copyOf(running.entrySet()).stream()
                 .filter(run -> !hangs && !endsWhenReleased && run.getValue() + workOf(run.getKey()) <= now)
                 .forEach(run -> end(run.getKey(), endKind));
@@ -116,6 +129,15 @@
         });
     }
 
+    /** The agent's connection is gone, and the placer notices. */
+    void dropConnection(WorkPlacer placer) {
+        outbox.clear();
+        if (connection != null) {
+            placer.disconnected(connection);
+            connection = null;
+        }
+    }
+
     /** Ends everything, as when the lease has run out. */
     void lapse() {
         List.copyOf(running.keySet()).forEach(key -> end(key, EndKind.LAPSED));
@@ -154,11 +176,18 @@
         switch (message) {
             case WorkMessage.StartTask order -> start(order);
             case WorkMessage.StopTask order -> stop(order);
-            case WorkMessage.Contact contact -> ended.removeIf(end -> end.number() <= contact.acknowledged());
+            case WorkMessage.Contact contact -> acknowledge(contact.acknowledged());
             default -> throw new AssertionError(message);
         }
     }
 
+    private void acknowledge(long number) {
+        ended.stream()
+                .filter(end -> end.number() <= number && end.kind() == EndKind.DONE)
+                .forEach(end -> acknowledgedSuccesses.add(end.task()));
+        ended.removeIf(end -> end.number() <= number);
+    }
+
     private void start(WorkMessage.StartTask order) {
         starts.add(order);
         String key = order.task() + "#" + order.attempt();
@@ -176,7 +205,7 @@
         highestStopped.merge(order.task(), order.attempt(), Math::max);
         String key = order.task() + "#" + order.attempt();
         if (running.containsKey(key)) {
-            end(key, EndKind.STOPPED);
+            stopping.putIfAbsent(key, now + STOP_MILLISECONDS);
         }
         answer(order.task(), order.attempt(), OrderOutcome.STOPPED);
         nextReport = 0;
--- /dev/null
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
@@ -0,0 +1,194 @@
+package org.teaselwood.workload.placer;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.protocol.message.WorkMessage.EndKind;
+import org.teaselwood.workload.model.WorkloadTimings;
+
+/**
+ * Random jobs under random faults in virtual time, against a simple oracle: no task runs twice at once or after a
+ * stored success, no server is overloaded, no gang is split for long, and every job ends once the faults have ended.
+ */
+final class PlacerFaultsTest {
+    private static final int STEPS = 300;
+    private static final long SLICE_MILLISECONDS = 100;
+    private static final int SERVERS = 6;
+
+    /** Longer than a lease, so that runs of silent servers are still there when it runs out. */
+    private static final int LONGEST_WORK_MILLISECONDS = 12_000;
+
+    private final PlacerScenario scenario = new PlacerScenario();
+    private final Map<String, Long> silentSince = new HashMap<>();
+    private final Set<String> succeeded = new HashSet<>();
+    private final Map<String, Integer> startsSeen = new HashMap<>();
+    private int lives;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void promises_hold_under_random_faults(long seed) {
+        Random random = new Random(seed);
+        for (int index = 0; index < SERVERS; index++) {
+            newLife("vm" + index, "r" + index / 3);
+        }
+        for (int step = 0; step < STEPS; step++) {
+            act(random, step);
+            advance(seed);
+        }
+        scenario.storeAnswers = true;
+        silentSince.keySet().stream().toList().forEach(this::reconnect);
+        for (int step = 0; step < 3_000; step++) {
+            advance(seed);
+        }
+        scenario.accepted
+                .keySet()
+                .forEach(job -> assertWithMessage("seed %s, job %s", seed, job)
+                        .that(scenario.phase(job).isFinal())
+                        .isTrue());
+        assertWithMessage("seed %s", seed).that(scenario.runningTasks()).isEqualTo(0);
+    }
+
+    private void act(Random random, int step) {
+        List<String> alive = scenario.servers.keySet().stream().toList();
+        String server = alive.get(random.nextInt(alive.size()));
+        switch (random.nextInt(24)) {
+            case 0, 1, 2, 3 -> submit(random, step);
+            case 4 -> disconnect(server);
+            case 5 -> reconnectOneOf(random);
+            case 7 -> crash(server);
+            case 8 -> scenario.elect();
+            case 9 -> scenario.storeAnswers = false;
+            case 10, 11 -> scenario.storeAnswers = true;
+            case 12 ->
+                scenario.accepted.keySet().stream()
+                        .skip(random.nextInt(Math.max(1, scenario.accepted.size())))
+                        .findFirst()
+                        .ifPresent(job -> scenario.placer.jobCancelled(job, scenario.now));
+            case 13 -> scenario.servers.get(server).endKind = random.nextBoolean() ? EndKind.FAILED : EndKind.DONE;
+            case 14 -> electWithoutStore();
+            default -> scenario.servers.get(server).answersOrders = random.nextInt(4) > 0;
+        }
+        scenario.servers.values().forEach(present -> present.hangs = false);
+    }
+
+    /** Servers stay silent for some seconds on average, so that leases run out in part of the cases. */
+    private void reconnectOneOf(Random random) {
+        if (!silentSince.isEmpty() && random.nextInt(3) == 0) {
+            reconnect(silentSince.keySet().stream()
+                    .skip(random.nextInt(silentSince.size()))
+                    .findFirst()
+                    .orElseThrow());
+        }
+    }
+
+    /** A placer is replaced while its last writes have not taken effect. */
+    private void electWithoutStore() {
+        scenario.storeAnswers = false;
+        scenario.run(300);
+        scenario.elect();
+    }
+
+    private void submit(Random random, int step) {
+        String queue = List.of("urgent", "normal", "batch").get(random.nextInt(3));
+        int count = 1 + random.nextInt(4);
+        int accelerators = 1 + random.nextInt(4);
+        long work = 500 + random.nextInt(LONGEST_WORK_MILLISECONDS);
+        for (int index = 0; index < count; index++) {
+            scenario.work.put("job" + step + ".0.0." + index, work);
+        }
+        scenario.submit(
+                "job" + step,
+                queue,
+                random.nextBoolean()
+                        ? PlacerScenario.gang(count, accelerators)
+                        : PlacerScenario.step(count, accelerators),
+                PlacerScenario.step(1, 1, false, false, List.of(0)));
+    }
+
+    private void disconnect(String server) {
+        if (silentSince.putIfAbsent(server, scenario.now) == null) {
+            FakeServer present = scenario.servers.get(server);
+            present.connected = false;
+            present.dropConnection(scenario.placer);
+        }
+    }
+
+    private void reconnect(String server) {
+        silentSince.remove(server);
+        FakeServer present = scenario.servers.get(server);
+        if (present != null) {
+            present.connected = true;
+            scenario.connect(present);
+        }
+    }
+
+    private void crash(String server) {
+        silentSince.remove(server);
+        FakeServer gone = scenario.servers.remove(server);
+        gone.dropConnection(scenario.placer);
+        newLife(gone.description.host(), gone.description.rack());
+    }
+
+    private void newLife(String host, String rack) {
+        scenario.server("s" + ++lives, host, rack);
+    }
+
+    private void advance(long seed) {
+        scenario.run(SLICE_MILLISECONDS);
+        long leaseEnd = WorkloadTimings.CONTACT_MILLISECONDS + PlacerScenario.TIMINGS.longestHoldMilliseconds();
+        silentSince.forEach((server, since) -> {
+            if (scenario.now - since > leaseEnd) {
+                scenario.servers.get(server).lapse();
+            }
+        });
+        check(seed);
+    }
+
+    private void check(long seed) {
+        Map<String, Integer> running = new HashMap<>();
+        scenario.servers.values().forEach(server -> {
+            int taken = 0;
+            for (String key : server.running.keySet()) {
+                running.merge(key.substring(0, key.indexOf('#')), 1, Integer::sum);
+                taken += acceleratorsOf(key.substring(0, key.indexOf('#')));
+            }
+            assertWithMessage("seed %s, accelerators of %s", seed, server.description.server())
+                    .that(taken)
+                    .isAtMost(PlacerScenario.SERVER.accelerators());
+            checkStarts(seed, server);
+        });
+        running.forEach((task, count) -> assertWithMessage("seed %s, runs of %s at %s", seed, task, scenario.now)
+                .that(count)
+                .isEqualTo(1));
+        scenario.servers.values().forEach(server -> succeeded.addAll(server.acknowledgedSuccesses));
+    }
+
+    private void checkStarts(long seed, FakeServer server) {
+        int seen = startsSeen.getOrDefault(server.description.server(), 0);
+        List<WorkMessage.StartTask> starts = server.starts;
+        starts.stream()
+                .skip(seen)
+                .forEach(start -> assertWithMessage("seed %s, start after success", seed)
+                        .that(succeeded)
+                        .doesNotContain(start.task()));
+        startsSeen.put(server.description.server(), starts.size());
+    }
+
+    private int acceleratorsOf(String task) {
+        String[] fields = task.split("\\.");
+        return scenario.accepted
+                .get(fields[0])
+                .steps()
+                .get(Integer.parseInt(fields[2]))
+                .resources()
+                .accelerators();
+    }
+}
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -72,7 +72,12 @@
         due.clear();
         placer = new WorkPlacer(term, TIMINGS, configuration, this);
         accepted.values().forEach(job -> placer.jobAccepted(job, 1, stored(job.id()), now));
-        servers.values().forEach(server -> server.connect(term));
+        servers.values().stream().filter(server -> server.connected).forEach(server -> server.connect(term));
+    }
+
+    /** Connects a server to the present placer. */
+    void connect(FakeServer server) {
+        server.connect(term);
     }
 
     void configure(WorkloadConfiguration newConfiguration) {
