--- a/teaselwood-agent/src/main/java/org/teaselwood/agent/Main.java
+++ b/teaselwood-agent/src/main/java/org/teaselwood/agent/Main.java
@@ -3,13 +3,11 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
-import io.vertx.core.file.FileSystemOptions;
 import java.nio.file.Path;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.SmallVertx;
 import org.teaselwood.settings.AgentSettings;
 
 /** Starts the agent process. */
@@ -20,8 +18,6 @@
     /** Work was left when drain-timeout ended. */
     private static final int EXIT_UNFINISHED = 75;
 
-    private static final long BLOCKED_THREAD_CHECK_MILLISECONDS = 60_000;
-
     @Parameter(names = "--settings", description = "INI file with the settings of the agent")
     private String settings;
 
@@ -35,7 +31,7 @@
 
     /** Exits with 0, with 64 for wrong usage, or with 78 for wrong settings. */
     public static void main(String[] arguments) {
-        limitMemory();
+        SmallVertx.limitMemory();
         int status = run(arguments);
         if (status >= 0) {
             System.exit(status);
@@ -80,7 +76,7 @@
     }
 
     private static void start(AgentSettings agentSettings) {
-        AgentProcess process = new AgentProcess(newVertx(), agentSettings);
+        AgentProcess process = new AgentProcess(SmallVertx.create(), agentSettings);
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(() -> finish(process, agentSettings.drainTimeoutMilliseconds()), "leave"));
     }
@@ -100,27 +96,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    /**
-     * Settings of Netty and Vert.x that keep code and buffers out of the resident set. They are read when the classes
-     * are loaded, so they are set first. Addresses are IP numbers, so that no DNS resolver is needed.
-     */
-    private static void limitMemory() {
-        System.setProperty("io.netty.allocator.type", "unpooled");
-        System.setProperty("io.netty.noPreferDirect", "true");
-        System.setProperty("io.netty.jfr.enabled", "false");
-        System.setProperty("vertx.disableDnsResolver", "true");
-    }
-
-    /** One event loop, no caches of files: the resident set of the agent is limited to 64 MB. */
-    private static Vertx newVertx() {
-        return Vertx.vertx(new VertxOptions()
-                .setEventLoopPoolSize(1)
-                .setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1)
-                .setBlockedThreadCheckInterval(BLOCKED_THREAD_CHECK_MILLISECONDS)
-                .setFileSystemOptions(new FileSystemOptions()
-                        .setClassPathResolvingEnabled(false)
-                        .setFileCachingEnabled(false)));
-    }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Ends.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Ends.java
@@ -74,9 +74,6 @@
             }
             default -> runs.breakGang(step, now);
         }
-        if (step.specification.longRunning()) {
-            task.notBefore = now;
-        }
     }
 
     /** The ends of a gang count once; every member carries the count so that it is stored with each. */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
@@ -85,11 +84,6 @@
         this.restoration = new Restoration(servers);
     }
 
-    /** The term of this placer. */
-    public long term() {
-        return term;
-    }
-
     /**
      * A job was accepted, now or under an earlier placer.
      *
@@ -295,14 +289,6 @@
         return passes;
     }
 
-    /** Identifiers of the jobs that are not final. */
-    public Set<String> openJobs() {
-        return jobs.values().stream()
-                .filter(job -> !job.phase.isFinal())
-                .map(JobState::id)
-                .collect(Collectors.toSet());
-    }
-
     private final class PassActions implements PlacementPass.Actions {
         private final long now;
 
