--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -50,11 +50,6 @@
     /** Pairs of an open job and a server that a pass looks at in a millisecond of a small processor. */
     private static final long PAIRS_A_MILLISECOND = 100;
 
-    /** A task whose progress stands still this long is moved; progress is reported in whole percents. */
-    private static final long STALL_MILLISECONDS = 4_000;
-
-    private static final int COMPLETE_PERCENT = 100;
-
     private final long term;
     private final WorkloadTimings timings;
     private final PlacerEffects effects;
@@ -62,6 +57,7 @@
     private final Runs runs;
     private final Ends ends;
     private final Restoration restoration;
+    private final RunSupervision supervision;
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
     private final Map<String, ServerState> servers = new TreeMap<>();
     private final UrgentReserve reserve = new UrgentReserve();
@@ -82,6 +78,7 @@
         this.runs = new Runs(term, writes, effects);
         this.ends = new Ends(jobs, writes, runs);
         this.restoration = new Restoration(servers);
+        this.supervision = new RunSupervision(servers, runs, timings);
     }
 
     /**
@@ -263,8 +260,7 @@
                 .filter(server -> now - server.heardAt > timings.lostAfterMilliseconds())
                 .toList()
                 .forEach(server -> loseServer(server, "its agent is silent", now));
-        breakIncompleteGangs(now);
-        moveStalledRuns(now);
+        supervision.check(now);
     }
 
     private void pass(long now) {
@@ -405,52 +401,6 @@
         runs.markChanged();
     }
 
-    /** A lone member ends by itself after the gang wait, so an incomplete gang is stopped before. */
-    private void breakIncompleteGangs(long now) {
-        long limit = timings.gangWaitMilliseconds() / 2;
-        servers.values().stream()
-                .flatMap(server -> server.runs.values().stream())
-                .filter(run -> run.step.gang() && run.state == RunState.ORDERED && now - run.createdAt > limit)
-                .toList()
-                .forEach(run -> {
-                    LOGGER.info("gang of task {} is incomplete after {} ms", run.task.name, limit);
-                    runs.stop(run, now);
-                });
-    }
-
-    /**
-     * Stops runs that stand still. The members of a gang end together, so that those that are ahead may stand still
-     * while they wait for the slowest; only the last of them is judged.
-     */
-    private void moveStalledRuns(long now) {
-        servers.values().stream()
-                .flatMap(server -> server.runs.values().stream())
-                .filter(run -> run.state == RunState.RUNNING
-                        && !run.step.specification.longRunning()
-                        && run.percent < COMPLETE_PERCENT
-                        && now - run.progressAt > STALL_MILLISECONDS
-                        && now - run.server.heardAt < WorkloadTimings.SUSPECT_MILLISECONDS)
-                .filter(run -> !run.step.gang() || isLastOfGang(run))
-                .toList()
-                .forEach(run -> {
-                    LOGGER.info(
-                            "task {} attempt {} on {} stands still at {} percent",
-                            run.task.name,
-                            run.attempt,
-                            run.server.id,
-                            run.percent);
-                    run.server.countFailure(now);
-                    run.task.failedOn.add(run.server.id);
-                    runs.stop(run, now);
-                });
-    }
-
-    private static boolean isLastOfGang(Run run) {
-        return run.step.tasks.stream()
-                .filter(member -> member.run != null)
-                .allMatch(member -> member.run.percent >= run.percent);
-    }
-
     private void updateMaximumAttempts(JobState job) {
         if (configuration != null) {
             configuration
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -6,6 +6,8 @@
 import io.vertx.core.json.JsonObject;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.teaselwood.model.ErrorKind;
@@ -103,9 +105,7 @@
     /** Decodes the number of waiting jobs by queue. */
     public static Map<String, Integer> decodePending(byte[] value) {
         return decode(
-                value,
-                json -> json.fieldNames().stream()
-                        .collect(java.util.stream.Collectors.toMap(name -> name, json::getInteger)));
+                value, json -> json.fieldNames().stream().collect(Collectors.toMap(name -> name, json::getInteger)));
     }
 
     private static JsonObject stepJson(StepSpecification step) {
@@ -167,7 +167,7 @@
         return IntStream.range(0, array.size()).mapToObj(array::getJsonObject);
     }
 
-    private static <T> T decode(byte[] value, java.util.function.Function<JsonObject, T> reader) {
+    private static <T> T decode(byte[] value, Function<JsonObject, T> reader) {
         try {
             return reader.apply(new JsonObject(Buffer.buffer(value)));
         } catch (DecodeException
