Drop what nothing calls from the connections of agents

Nothing closed an agent's connection through AgentConnection, and WorkEntry kept its server without use. Change: both are gone; AgentConnection is a functional interface, which makes the test's fake a lambda. No behaviour changes.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
@@ -36,7 +36,6 @@
     private final TermElection.Candidate candidate;
     private final PlacerDuty duty;
     private final TermElection election;
-    private NetServer server;
 
     /** An entry that is started by {@link #start}. */
     public WorkEntry(
@@ -68,7 +67,7 @@
 
     /** Listens for agents and stands for election. */
     public Future<Void> start() {
-        server =
+        NetServer server =
                 vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true));
         server.connectHandler(socket -> MessageConnection.accept(socket, key, new AgentListener()));
         return server.listen(candidate.port(), candidate.host()).map(listening -> {
@@ -144,10 +143,5 @@
         public void send(WorkMessage message) {
             connection.send(message);
         }
-
-        @Override
-        public void close() {
-            connection.close();
-        }
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/AgentConnection.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/AgentConnection.java
@@ -3,10 +3,8 @@
 import org.teaselwood.protocol.message.WorkMessage;
 
 /** The placer's side of a connection with an agent. Called on the placer's duty thread. */
+@FunctionalInterface
 public interface AgentConnection {
     /** Sends a message; what cannot be sent is dropped and the connection is closed. */
     void send(WorkMessage message);
-
-    /** Closes the connection. */
-    void close();
 }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -81,17 +81,9 @@
     void connect(long newTerm) {
         term = newTerm;
         nextReport = 0;
-        connection = new AgentConnection() {
-            @Override
-            public void send(WorkMessage message) {
-                if (connected) {
-                    received(message);
-                }
-            }
-
-            @Override
-            public void close() {
-                connected = false;
+        connection = message -> {
+            if (connected) {
+                received(message);
             }
         };
     }
