Ask the advice service for tickets, pace filling work, bound planned interruptions

- A step of a queue with advice is placed only on servers whose ticket holds.
Denials are kept for the life of a server; a refused ticket costs no attempt.
- Filling tasks were kept off servers with serving tasks, so that they never ran where serving tasks are everywhere.
They now prefer other servers, begin at 30 percent beside serving work, and are halved or raised by the reported latency.
- Long-running tasks were never stopped.
Guaranteed work may now stop as many as their step can miss, the missing ones counted.
- Open jobs of a queue that a configuration drops go on with its last settings.

Ruled out: pacing in the agent, which does not know the steps after a restart.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageTypes.java
@@ -102,7 +102,8 @@
                         WorkMessage.ServerLeft.class,
                         WorkMessage.StartTask.class,
                         WorkMessage.StopTask.class,
-                        WorkMessage.Contact.class));
+                        WorkMessage.Contact.class,
+                        WorkMessage.PaceTask.class));
     }
 
     private MessageTypes() {}
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
@@ -14,8 +14,9 @@
      * @param attempt number of its start
      * @param checkpoint newest checkpoint, empty for none
      * @param percent progress, 0 to 100
+     * @param load tail latency in milliseconds of a task that serves users, processor in use in millicores of any other
      */
-    record RunningTask(String task, int attempt, String checkpoint, int percent) {}
+    record RunningTask(String task, int attempt, String checkpoint, int percent, int load) {}
 
     /** How a run ended. */
     enum EndKind {
@@ -95,6 +96,8 @@
         UNAVAILABLE,
         /** Nothing was done, the order is not valid. */
         REFUSED,
+        /** Nothing was done, the ticket of the order does not hold. */
+        NO_TICKET,
         /** A try without an answer may still take effect. */
         UNCERTAIN,
         /** The run is stopped or can no longer start. */
@@ -112,13 +115,33 @@
     /** The backend server has left. */
     record ServerLeft(String server, long start) implements WorkMessage {}
 
-    /** Starts a task. */
-    record StartTask(long term, String server, long start, String task, int attempt, String payload, String checkpoint)
+    /**
+     * Starts a task.
+     *
+     * @param ticket permission of the advice service, empty when the queue needs none
+     */
+    record StartTask(
+            long term,
+            String server,
+            long start,
+            String task,
+            int attempt,
+            String payload,
+            String checkpoint,
+            String ticket)
             implements WorkMessage {}
 
     /** Stops a task, or keeps it from starting. */
     record StopTask(long term, String server, long start, String task, int attempt) implements WorkMessage {}
 
+    /**
+     * Sets the share of its speed at which a task works.
+     *
+     * @param percent 0 to 100; a task starts at 100
+     */
+    record PaceTask(long term, String server, long start, String task, int attempt, int percent)
+            implements WorkMessage {}
+
     /**
      * Answers a report.
      *
--- a/teaselwood-settings/src/main/java/org/teaselwood/settings/WorkloadSettings.java
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/WorkloadSettings.java
@@ -14,6 +14,8 @@
  * @param readiness address of the readiness check, present on an entry
  * @param announcements address on which the backend server announces itself, present beside an agent
  * @param worker address of the backend server, present beside an agent
+ * @param advice address of the service that knows which backend servers may run some steps, none where there is no such
+ *     service
  * @param metrics address of the metrics, none for a process that serves none
  * @param processor processor of the VM, in cores
  * @param store address of the key-value service
@@ -30,6 +32,7 @@
         Optional<NetworkAddress> readiness,
         Optional<NetworkAddress> announcements,
         Optional<NetworkAddress> worker,
+        Optional<NetworkAddress> advice,
         Optional<NetworkAddress> metrics,
         double processor,
         NetworkAddress store,
@@ -48,6 +51,7 @@
     private static final Setting<Optional<NetworkAddress>> ANNOUNCEMENTS =
             Setting.optional("announcements", ValueTypes.address());
     private static final Setting<Optional<NetworkAddress>> WORKER = Setting.optional("worker", ValueTypes.address());
+    private static final Setting<Optional<NetworkAddress>> ADVICE = Setting.optional("advice", ValueTypes.address());
     private static final Setting<Optional<NetworkAddress>> METRICS = Setting.optional("metrics", ValueTypes.address());
     private static final Setting<Double> PROCESSOR_SHARE =
             Setting.withDefault("processor-share", ValueTypes.decimal(0.01, 1), 1.0);
@@ -62,6 +66,7 @@
             READINESS,
             ANNOUNCEMENTS,
             WORKER,
+            ADVICE,
             METRICS,
             PROCESSOR_SHARE,
             PROCESSOR_CORES,
@@ -102,6 +107,7 @@
                 node.get(READINESS),
                 node.get(ANNOUNCEMENTS),
                 node.get(WORKER),
+                node.get(ADVICE),
                 node.get(METRICS),
                 node.get(PROCESSOR_SHARE) * node.get(PROCESSOR_CORES),
                 node.get(STORE),
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/BackendServerCalls.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/BackendServerCalls.java
@@ -39,11 +39,15 @@
             int attempt,
             String payload,
             String checkpoint,
+            String ticket,
             long expiresAtMilliseconds) {}
 
     /** A stop of a task. */
     record StopRequest(String server, long term, String task, int attempt) {}
 
+    /** A new pace of a task. */
+    record PaceRequest(String server, long term, String task, int attempt, int percent) {}
+
     /** Answer of the server to an order. */
     enum Answer {
         /** Carried out, now or before. */
@@ -56,6 +60,8 @@
         FENCED,
         /** There is no room. */
         NO_ROOM,
+        /** The ticket does not hold. */
+        NO_TICKET,
         /** The server does not work now. */
         UNHEALTHY,
         /** The order is not valid. */
@@ -72,4 +78,7 @@
 
     /** Stops a task. */
     Future<Answer> stop(StopRequest request);
+
+    /** Sets the pace of a task. */
+    Future<Answer> pace(PaceRequest request);
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -151,6 +151,11 @@
                     stopOrdered(order);
                 }
             }
+            case WorkMessage.PaceTask order -> {
+                if (accepts(order.term(), order.server(), order.start())) {
+                    pace(order);
+                }
+            }
             case ServerReport unexpected -> LOGGER.warn("ignored a report");
             case OrderResult unexpected -> LOGGER.warn("ignored an order result");
             case WorkMessage.ServerLeft unexpected -> LOGGER.warn("ignored a departure");
@@ -341,6 +346,7 @@
                         order.attempt(),
                         order.payload(),
                         order.checkpoint(),
+                        order.ticket(),
                         leaseEnd()))
                 .onComplete(result -> {
                     if (startOfLife != life || order.term() < highestTerm) {
@@ -377,12 +383,20 @@
             case DONE -> OrderOutcome.STARTED;
             case SUPERSEDED -> OrderOutcome.SUPERSEDED;
             case NO_ROOM -> unanswered ? OrderOutcome.UNCERTAIN : OrderOutcome.NO_ROOM;
+            case NO_TICKET -> unanswered ? OrderOutcome.UNCERTAIN : OrderOutcome.NO_TICKET;
             case UNHEALTHY, OTHER_LIFE -> unanswered ? OrderOutcome.UNCERTAIN : OrderOutcome.UNAVAILABLE;
             case INVALID -> unanswered ? OrderOutcome.UNCERTAIN : OrderOutcome.REFUSED;
             case FENCED, LATE -> OrderOutcome.UNCERTAIN;
         };
     }
 
+    /** The placer repeats an order that had no effect. */
+    private void pace(WorkMessage.PaceTask order) {
+        calls.pace(new BackendServerCalls.PaceRequest(
+                        order.server(), order.term(), order.task(), order.attempt(), order.percent()))
+                .onFailure(failure -> LOGGER.debug("pace of {} has no answer", order.task(), failure));
+    }
+
     private void stopOrdered(WorkMessage.StopTask order) {
         String key = order.task() + "#" + order.attempt();
         if (stopsInProgress.putIfAbsent(key, clock.nowMilliseconds()) == null) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -37,6 +37,7 @@
     private final WorkloadTimings timings;
     private final LongConsumer termLost;
     private final JobTimes times;
+    private final AdviceService advice;
     private DutyThread<PlacerEvent> thread;
     private WorkloadConfiguration configuration;
     private final List<KeyValue> early = new ArrayList<>();
@@ -45,7 +46,13 @@
     private long advancedAt;
     private WorkPlacer placer;
 
-    PlacerDuty(KeyValueService store, WorkloadTimings timings, JobTimes times, LongConsumer termLost) {
+    PlacerDuty(
+            KeyValueService store,
+            AdviceService advice,
+            WorkloadTimings timings,
+            JobTimes times,
+            LongConsumer termLost) {
+        this.advice = advice;
         this.times = times;
         this.store = store;
         this.timings = timings;
@@ -94,6 +101,11 @@
             when read.term() == term -> withPlacer(running -> running.revisionsRead(read.revisions()));
             case PlacerEvent.WriteFailed failed
             when failed.term() == term -> withPlacer(running -> running.writeFailed(now));
+            case PlacerEvent.Advised advised
+            when advised.term() == term ->
+                withPlacer(running -> running.advised(advised.step(), advised.tickets(), now));
+            case PlacerEvent.AdviceFailed failed
+            when failed.term() == term -> withPlacer(running -> running.adviceFailed(failed.step(), now));
             case PlacerEvent outdated -> LOGGER.debug("ignored {}", outdated);
         }
         // Events that wait are handled first; a pass for each of them would let the ring fill up.
@@ -139,6 +151,17 @@
                         });
     }
 
+    @Override
+    public void advise(String step, List<String> servers, long limitMilliseconds) {
+        long askTerm = term;
+        advice.advise(step, servers, limitMilliseconds)
+                .onSuccess(tickets -> offer(new PlacerEvent.Advised(askTerm, step, tickets)))
+                .onFailure(failure -> {
+                    LOGGER.info("no advice on step {}: {}", step, failure.getMessage());
+                    offer(new PlacerEvent.AdviceFailed(askTerm, step));
+                });
+    }
+
     @Override
     public void publishPending(Map<String, Integer> pending) {
         store.transact(new KeyValueTransaction(
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEvent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEvent.java
@@ -36,6 +36,12 @@
     /** A condition of a write did not hold. */
     record RevisionsRead(long term, Map<String, Long> revisions) implements PlacerEvent {}
 
+    /** The advice service has answered. */
+    record Advised(long term, String step, Map<String, String> tickets) implements PlacerEvent {}
+
+    /** The advice service has not answered. */
+    record AdviceFailed(long term, String step) implements PlacerEvent {}
+
     /** It is not known whether a write took effect. */
     record WriteFailed(long term) implements PlacerEvent {}
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
@@ -42,6 +42,7 @@
             Vertx vertx,
             MonotonicClock clock,
             KeyValueService store,
+            AdviceService advice,
             SharedKey key,
             TermElection.Candidate candidate,
             WorkloadTimings timings,
@@ -50,7 +51,8 @@
         this.store = store;
         this.key = key;
         this.candidate = candidate;
-        this.duty = new PlacerDuty(store, timings, times, term -> vertx.runOnContext(ignored -> termLost(term)));
+        this.duty =
+                new PlacerDuty(store, advice, timings, times, term -> vertx.runOnContext(ignored -> termLost(term)));
         this.duty.runOn(new DutyThread<>("placer", RING_EVENTS, TICK_MILLISECONDS, clock, duty));
         this.election = new TermElection(vertx, clock, store, candidate, new TermElection.Listener() {
             @Override
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/QueueSettings.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/QueueSettings.java
@@ -1,5 +1,7 @@
 package org.teaselwood.workload.model;
 
+import java.util.Optional;
+
 /**
  * A queue as configured. Immutable.
  *
@@ -9,6 +11,13 @@
  * @param maximumAttempts runs of a task that may fail before the job fails
  * @param stretch objective of the completion time as a multiple of the work
  * @param objectiveMilliseconds constant part of that objective
+ * @param advice present when only the advice service knows which backend servers may run its tasks
  */
 public record QueueSettings(
-        String name, String service, int priority, int maximumAttempts, double stretch, long objectiveMilliseconds) {}
+        String name,
+        String service,
+        int priority,
+        int maximumAttempts,
+        double stretch,
+        long objectiveMilliseconds,
+        Optional<AdviceSettings> advice) {}
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadConfiguration.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadConfiguration.java
@@ -1,5 +1,6 @@
 package org.teaselwood.workload.model;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -18,6 +19,13 @@
         guaranteedAccelerators = Map.copyOf(guaranteedAccelerators);
     }
 
+    /** This configuration with queues that it does not name any more, so that their open jobs can end. */
+    public WorkloadConfiguration keeping(Map<String, QueueSettings> former) {
+        Map<String, QueueSettings> all = new HashMap<>(former);
+        all.putAll(queues);
+        return new WorkloadConfiguration(version, all, guaranteedAccelerators);
+    }
+
     /** A queue by name. */
     public Optional<QueueSettings> queue(String name) {
         return Optional.ofNullable(queues.get(name));
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
@@ -20,6 +20,7 @@
 final class Entitlements {
     private final WorkloadConfiguration configuration;
     private final Set<JobState> entitled = new HashSet<>();
+    private final Set<Run> interruptible = new HashSet<>();
     private int urgentAccelerators;
 
     Entitlements(Collection<JobState> jobs, WorkloadConfiguration configuration) {
@@ -29,6 +30,7 @@
                 .filter(job -> !job.phase.isFinal() && priority(job) == 0)
                 .sorted(Comparator.comparingLong(job -> job.acceptedRevision))
                 .toList();
+        jobs.stream().filter(job -> !job.phase.isFinal()).forEach(this::findInterruptible);
         for (JobState job : urgent) {
             int need = accelerators(job);
             urgentAccelerators += need;
@@ -40,6 +42,25 @@
         }
     }
 
+    /**
+     * Chooses the runs of long-running steps that may be stopped in this pass: as many as the step can still miss, the
+     * missing ones counted, so that no order of stops takes more.
+     */
+    private void findInterruptible(JobState job) {
+        job.steps.stream()
+                .filter(step -> step.specification.longRunning() && step.specification.mayMiss() > 0)
+                .forEach(step -> {
+                    List<Run> atWork = step.tasks.stream()
+                            .filter(task -> task.run != null && task.run.atWork())
+                            .map(task -> task.run)
+                            .toList();
+                    int missing = step.tasks.size() - atWork.size();
+                    atWork.stream()
+                            .limit(Math.max(0, step.specification.mayMiss() - missing))
+                            .forEach(interruptible::add);
+                });
+    }
+
     /** Accelerators that all jobs of priority 0 use and ask for. */
     int urgentAccelerators() {
         return urgentAccelerators;
@@ -51,7 +72,7 @@
 
     /** Whether a run may be stopped for a job of priority 0. */
     boolean mayStop(Run run, boolean forEntitledJob) {
-        if (run.step.specification.longRunning()) {
+        if (run.step.specification.longRunning() && !interruptible.contains(run)) {
             return false;
         }
         return priority(run.job) > 0 || forEntitledJob && !isEntitled(run.job);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.teaselwood.workload.model.AdviceSettings;
 import org.teaselwood.workload.model.QueueSettings;
 import org.teaselwood.workload.model.WorkloadConfiguration;
 
@@ -52,6 +53,9 @@
 
         /** Stops a run so that another job gets its room. */
         void preempt(Run run, JobState beneficiary);
+
+        /** Asks the advice service which of the servers may run the step. */
+        void ask(StepState step, AdviceSettings settings, List<ServerState> servers, Room room);
     }
 
     PlacementPass(
@@ -104,15 +108,25 @@
         if (step.readySince == 0) {
             step.readySince = now;
         }
+        step.advice.required = candidate.queue().advice().isPresent();
         boolean placed = step.gang() ? placeGang(candidate, step) : placeEach(candidate, step);
         if (placed) {
             step.plan = Map.of();
-        } else if (candidate.queue().priority() == 0) {
-            makeRoom(candidate, step);
+        } else {
+            candidate.queue().advice().ifPresent(settings -> askAdvice(candidate, step, settings));
+            if (candidate.queue().priority() == 0) {
+                makeRoom(candidate, step);
+            }
         }
         room.nextStep();
     }
 
+    private void askAdvice(Candidate candidate, StepState step, AdviceSettings settings) {
+        List<ServerState> unknown =
+                room.unadvised(candidate.queue().service(), step).toList();
+        actions.ask(step, settings, unknown, room);
+    }
+
     /** Work that loses much when it is stopped stays out of the reserve, unless it has waited long. */
     private boolean mustLeaveReserve(Candidate candidate, StepState step) {
         if (candidate.queue().priority() == 0
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacerEffects.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacerEffects.java
@@ -18,6 +18,14 @@
      */
     void write(List<RecordWrite> writes);
 
+    /**
+     * Asks the advice service which of the backend servers may run a step. Exactly one of {@link WorkPlacer#advised} or
+     * {@link WorkPlacer#adviceFailed} follows.
+     *
+     * @param limitMilliseconds time after which no answer is waited for
+     */
+    void advise(String step, List<String> servers, long limitMilliseconds);
+
     /** Publishes the number of waiting jobs by queue; may be lost. */
     void publishPending(Map<String, Integer> pending);
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Room.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Room.java
@@ -20,21 +20,24 @@
 final class Room {
     private final Map<ServerState, Resources> free = new LinkedHashMap<>();
     private final Map<ServerState, Integer> takenByStep = new LinkedHashMap<>();
+    private final long now;
 
     Room(Collection<ServerState> servers, long now) {
+        this.now = now;
         servers.stream()
                 .filter(server -> server.usable(now, WorkloadTimings.SUSPECT_MILLISECONDS))
                 .forEach(server -> free.put(server, server.free()));
     }
 
-    private Room(Map<ServerState, Resources> free, Map<ServerState, Integer> takenByStep) {
+    private Room(Map<ServerState, Resources> free, Map<ServerState, Integer> takenByStep, long now) {
+        this.now = now;
         this.free.putAll(free);
         this.takenByStep.putAll(takenByStep);
     }
 
     /** A copy for trying a placement. */
     Room copy() {
-        return new Room(free, takenByStep);
+        return new Room(free, takenByStep, now);
     }
 
     Resources freeOf(ServerState server) {
@@ -77,18 +80,28 @@
                 step);
     }
 
-    /** Servers that may run the step by service, label, limit per server and neighbours, whatever room they have. */
+    /** Servers that may run the step by service, label, limit per server and advice, whatever room they have. */
     Stream<ServerState> eligible(String service, StepState step) {
         return eligibleOf(free.keySet().stream(), service, step);
     }
 
+    /** Servers that could run the step if the advice service, which was not asked about them, permitted it. */
+    Stream<ServerState> unadvised(String service, StepState step) {
+        return suitable(free.keySet().stream(), service, step)
+                .filter(server -> server.capacity().covers(step.specification.reserved()))
+                .filter(server -> step.advice.isUnknown(server, now));
+    }
+
     private Stream<ServerState> eligibleOf(Stream<ServerState> servers, String service, StepState step) {
+        return suitable(servers, service, step).filter(server -> step.advice.permits(server, now));
+    }
+
+    private Stream<ServerState> suitable(Stream<ServerState> servers, String service, StepState step) {
         StepSpecification specification = step.specification;
         return servers.filter(server -> server.description.service().equals(service))
                 .filter(server -> specification.selector().isEmpty()
                         || server.description.labels().contains(specification.selector()))
-                .filter(server -> withinLimit(server, step))
-                .filter(server -> server.runs.values().stream().noneMatch(run -> disturbs(run, specification)));
+                .filter(server -> withinLimit(server, step));
     }
 
     /** Racks with their eligible servers, in the order of their names. */
@@ -107,7 +120,12 @@
         return present + takenByStep.getOrDefault(server, 0) < limit;
     }
 
-    /** Work that fills is kept away from work with a latency target, because its share of the damage is unknown. */
+    /** Whether the step would fill beside work that serves users, or serve beside work that fills. */
+    static boolean disturbs(ServerState server, StepSpecification specification) {
+        return (specification.fills() || specification.latencyTargetMilliseconds() > 0)
+                && server.runs.values().stream().anyMatch(run -> disturbs(run, specification));
+    }
+
     private static boolean disturbs(Run run, StepSpecification specification) {
         return run.step.specification.fills() && specification.latencyTargetMilliseconds() > 0
                 || specification.fills() && run.step.specification.latencyTargetMilliseconds() > 0;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -10,6 +10,7 @@
  */
 final class Run {
     private static final double MILLI = 1_000.0;
+    private static final int COMPLETE_PERCENT = 100;
 
     final JobState job;
     final StepState step;
@@ -24,6 +25,16 @@
 
     long startedAt;
     int percent;
+
+    /** Newest load figure of the report. */
+    int load;
+
+    /** Ordered share of its speed in percent; unknown, as -1, when a former placer may have set it. */
+    int pace;
+
+    /** When the pace was last ordered, in milliseconds; 0 for never. */
+    long pacedAt;
+
     long progressAt;
 
     Run(JobState job, StepState step, TaskState task, int attempt, ServerState server, RunState state, long now) {
@@ -36,6 +47,7 @@
         this.createdAt = now;
         this.startedAt = now;
         this.progressAt = now;
+        this.pace = state == RunState.RECOVERED ? -1 : Pacing.FULL_PERCENT;
     }
 
     String key() {
@@ -46,6 +58,11 @@
         return task + "#" + attempt;
     }
 
+    /** Whether a task that runs until it is cancelled is past its start. */
+    boolean atWork() {
+        return state == RunState.RUNNING && percent >= COMPLETE_PERCENT;
+    }
+
     Resources reserved() {
         return step.specification.reserved();
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunSupervision.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunSupervision.java
@@ -17,6 +17,9 @@
 
     private static final int COMPLETE_PERCENT = 100;
 
+    /** Work that is paced down to less than this may need longer than the limit for one percent. */
+    private static final int SLOW_PERCENT = 60;
+
     private final Map<String, ServerState> servers;
     private final Runs runs;
     private final WorkloadTimings timings;
@@ -56,6 +59,7 @@
                 .filter(run -> run.state == RunState.RUNNING
                         && !run.step.specification.longRunning()
                         && run.percent < COMPLETE_PERCENT
+                        && run.pace >= SLOW_PERCENT
                         && now - run.progressAt > STALL_MILLISECONDS
                         && now - run.server.heardAt < WorkloadTimings.SUSPECT_MILLISECONDS)
                 .filter(run -> !run.step.gang() || isLastOfGang(run))
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
@@ -76,7 +76,8 @@
                         run.task.name.toString(),
                         run.attempt,
                         run.job.specification.payload(),
-                        run.step.checkpointFor(run.task)));
+                        run.step.checkpointFor(run.task),
+                        run.step.advice.ticketFor(run.server)));
     }
 
     void sendStop(ServerState server, String task, int attempt) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerChoice.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerChoice.java
@@ -100,6 +100,7 @@
     private static Comparator<ServerState> preference(Room room, StepState step, TaskState task) {
         String rack = step.specification.affinityRack();
         return Comparator.comparingInt((ServerState server) -> task.failedOn.contains(server.id) ? 1 : 0)
+                .thenComparingInt(server -> Room.disturbs(server, step.specification) ? 1 : 0)
                 .thenComparingInt(
                         server -> rack.isEmpty() || server.description.rack().equals(rack) ? 0 : 1)
                 .thenComparingInt(server -> (int) Math.round(server.failureScore))
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
@@ -12,6 +12,7 @@
 
 /** State of one step of one occurrence. Mutable; confined to the placer's duty thread. */
 final class StepState {
+    private final String job;
     final int occurrence;
     final int number;
     final StepSpecification specification;
@@ -20,6 +21,9 @@
     /** Attempts of a gang that failed; the ends of its members count once. */
     final Set<Integer> failedAttempts = new HashSet<>();
 
+    /** Permissions of the advice service. */
+    final StepAdvice advice = new StepAdvice();
+
     /** Room that is being freed for this step, by backend server. */
     Map<String, Resources> plan = Map.of();
 
@@ -30,6 +34,7 @@
     long readySince;
 
     StepState(String job, int occurrence, int number, StepSpecification specification) {
+        this.job = job;
         this.occurrence = occurrence;
         this.number = number;
         this.specification = specification;
@@ -38,6 +43,11 @@
                 .toList();
     }
 
+    /** Name of the step, as in the names of its tasks. */
+    String name() {
+        return job + "." + occurrence + "." + number;
+    }
+
     /** Work of the waiting tasks by the submitter's estimate, in core-seconds. */
     double estimatedWork() {
         return tasks.stream().filter(TaskState::waits).count()
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -12,6 +12,7 @@
 import org.teaselwood.protocol.message.WorkMessage.OrderResult;
 import org.teaselwood.protocol.message.WorkMessage.RunningTask;
 import org.teaselwood.protocol.message.WorkMessage.ServerReport;
+import org.teaselwood.workload.model.AdviceSettings;
 import org.teaselwood.workload.model.JobSpecification;
 import org.teaselwood.workload.model.QueueSettings;
 import org.teaselwood.workload.model.Resources;
@@ -58,6 +59,8 @@
     private final Ends ends;
     private final Restoration restoration;
     private final RunSupervision supervision;
+    private final Pacing pacing;
+    private final AdviceRequests advice;
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
     private final Map<String, ServerState> servers = new TreeMap<>();
     private final UrgentReserve reserve = new UrgentReserve();
@@ -79,6 +82,8 @@
         this.ends = new Ends(jobs, writes, runs);
         this.restoration = new Restoration(servers);
         this.supervision = new RunSupervision(servers, runs, timings);
+        this.pacing = new Pacing(term);
+        this.advice = new AdviceRequests(effects);
     }
 
     /**
@@ -117,7 +122,13 @@
 
     /** A newer configuration is in force. */
     public void configurationChanged(WorkloadConfiguration newConfiguration) {
-        configuration = newConfiguration;
+        Map<String, QueueSettings> former = new LinkedHashMap<>();
+        jobs.values().stream()
+                .filter(job -> !job.phase.isFinal())
+                .map(job -> job.specification.queue())
+                .distinct()
+                .forEach(name -> configuration.queue(name).ifPresent(queue -> former.put(name, queue)));
+        configuration = newConfiguration.keeping(former);
         jobs.values().forEach(this::updateMaximumAttempts);
         runs.markChanged();
     }
@@ -147,6 +158,7 @@
                     .filter(ended -> ended.number() > server.processedEnds)
                     .forEach(ended -> ends.ended(server, ended, now));
             reconcile(server, report, now);
+            pacing.adjust(server, now);
             if (reconnected) {
                 repeatOrders(server);
             }
@@ -191,6 +203,13 @@
                     runs.remove(run, now);
                 }
             }
+            case NO_TICKET -> {
+                LOGGER.info("ticket for task {} attempt {} refused by {}", run.task.name, run.attempt, server.id);
+                run.step.advice.refused(server);
+                if (run.state == RunState.ORDERED) {
+                    runs.remove(run, now);
+                }
+            }
             default -> runs.stop(run, now); // UNCERTAIN
         }
     }
@@ -213,6 +232,21 @@
                 });
     }
 
+    /**
+     * The advice service has answered.
+     *
+     * @param tickets tickets of the permitted backend servers by identifier
+     */
+    public void advised(String step, Map<String, String> tickets, long now) {
+        advice.answered(step, tickets, now);
+        runs.markChanged();
+    }
+
+    /** The advice service has not answered. */
+    public void adviceFailed(String step, long now) {
+        advice.failed(step, now);
+    }
+
     /** The last write took effect. */
     public void written(long revision) {
         writes.written(revision);
@@ -297,6 +331,11 @@
             runs.start(job, step, task, server, attempt, now);
         }
 
+        @Override
+        public void ask(StepState step, AdviceSettings settings, List<ServerState> candidates, Room room) {
+            advice.ask(step, settings, candidates, room, now);
+        }
+
         @Override
         public void preempt(Run run, JobState beneficiary) {
             LOGGER.info("task {} attempt {} stopped for job {}", run.task.name, run.attempt, beneficiary.id());
@@ -368,6 +407,7 @@
 
     private void observe(Run run, RunningTask task, long operation, long now) {
         run.step.saveCheckpoint(run.task, task.checkpoint());
+        run.load = task.load();
         if (task.percent() != run.percent) {
             run.percent = task.percent();
             run.progressAt = now;
--- /dev/null
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/SharedServersTest.java
@@ -0,0 +1,164 @@
+package org.teaselwood.workload.placer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.workload.model.JobSpecification;
+import org.teaselwood.workload.model.Resources;
+import org.teaselwood.workload.model.StepSpecification;
+
+/** Filling and serving tasks on the same backend servers, and planned interruptions of tasks that last. */
+final class SharedServersTest {
+    private static final long TARGET_MILLISECONDS = 100;
+
+    private final PlacerScenario scenario = new PlacerScenario();
+
+    private static StepSpecification serving(int count, int accelerators, int mayMiss) {
+        return new StepSpecification(
+                count,
+                new Resources(1_000, 1_000, accelerators),
+                1_000,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                true,
+                false,
+                TARGET_MILLISECONDS,
+                mayMiss);
+    }
+
+    private static StepSpecification filling(int count) {
+        return new StepSpecification(
+                count,
+                new Resources(8_000, 1_000, 0),
+                1_000,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                true,
+                0,
+                0);
+    }
+
+    private FakeServer servingServer(String id) {
+        FakeServer server = scenario.server(id, "r1");
+        server.lasting = true;
+        return server;
+    }
+
+    @Test
+    void filling_work_prefers_servers_without_serving_work() {
+        FakeServer first = servingServer("s1");
+        scenario.submit("serving", "normal", serving(1, 1, 0));
+        scenario.run(600);
+        scenario.server("s2", "r1");
+        scenario.submit("filling", "batch", filling(2));
+        scenario.run(600);
+        assertThat(first.running.keySet()).containsExactly("serving.0.0.0#1");
+        assertThat(scenario.servers.get("s2").running).hasSize(2);
+    }
+
+    @Test
+    void filling_work_runs_beside_serving_work_when_there_is_no_other_place() {
+        FakeServer server = servingServer("s1");
+        scenario.submit("serving", "normal", serving(1, 1, 0));
+        scenario.run(600);
+        scenario.submit("filling", "batch", filling(1));
+        scenario.run(600);
+        assertThat(server.running).hasSize(2);
+    }
+
+    @Test
+    void filling_work_is_slowed_until_the_serving_task_is_under_its_target() {
+        FakeServer server = servingServer("s1");
+        scenario.submit("serving", "normal", serving(1, 1, 0));
+        scenario.submit("filling", "batch", filling(1));
+        server.loads.put("serving.0.0.0", 50);
+        scenario.run(1_500);
+        assertThat(server.paces.get("filling.0.0.0")).isAtMost(40);
+        server.loads.put("serving.0.0.0", 150);
+        scenario.run(4_000);
+        assertThat(server.paces.get("filling.0.0.0")).isEqualTo(0);
+        server.loads.put("serving.0.0.0", 20);
+        scenario.run(15_000);
+        assertThat(server.paces.get("filling.0.0.0")).isEqualTo(100);
+    }
+
+    @Test
+    void filling_work_is_at_full_pace_again_when_the_serving_task_has_gone() {
+        FakeServer server = servingServer("s1");
+        scenario.submit("serving", "normal", serving(1, 1, 0));
+        scenario.submit("filling", "batch", filling(1));
+        server.loads.put("serving.0.0.0", 150);
+        scenario.run(4_000);
+        scenario.placer.jobCancelled("serving", scenario.now);
+        scenario.run(2_000);
+        assertThat(server.paces.get("filling.0.0.0")).isEqualTo(100);
+    }
+
+    @Test
+    void a_successor_sets_the_pace_that_it_cannot_know() {
+        FakeServer server = servingServer("s1");
+        scenario.submit("serving", "normal", serving(1, 1, 0));
+        scenario.submit("filling", "batch", filling(1));
+        server.loads.put("serving.0.0.0", 50);
+        scenario.run(3_000);
+        server.paces.put("filling.0.0.0", 0);
+        scenario.elect();
+        scenario.run(1_200);
+        assertThat(server.paces.get("filling.0.0.0")).isGreaterThan(0);
+    }
+
+    @Test
+    void work_that_stands_still_at_a_low_pace_is_not_taken_for_stalled() {
+        FakeServer server = servingServer("s1");
+        server.hangs = true;
+        scenario.submit("serving", "normal", serving(1, 1, 0));
+        scenario.submit("filling", "batch", filling(1));
+        server.loads.put("serving.0.0.0", 150);
+        scenario.run(8_000);
+        assertThat(scenario.starts("filling.0.0.0")).isEqualTo(1);
+    }
+
+    @Test
+    void guaranteed_work_interrupts_no_more_lasting_tasks_than_their_step_may_miss() {
+        FakeServer first = servingServer("s1");
+        FakeServer second = servingServer("s2");
+        scenario.submit(job("lasting", "other", serving(2, 8, 1)));
+        scenario.run(2_000);
+        scenario.submit("urgent1", "urgent", PlacerScenario.step(1, 8));
+        scenario.submit("urgent2", "urgent", PlacerScenario.step(1, 8));
+        scenario.run(2_000);
+        assertThat(first.running.keySet().stream()
+                                .filter(key -> key.startsWith("lasting"))
+                                .count()
+                        + second.running.keySet().stream()
+                                .filter(key -> key.startsWith("lasting"))
+                                .count())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void lasting_tasks_of_a_step_that_may_miss_none_are_never_interrupted() {
+        FakeServer server = servingServer("s1");
+        scenario.submit(job("lasting", "other", serving(1, 8, 0)));
+        scenario.run(2_000);
+        scenario.submit("urgent", "urgent", PlacerScenario.step(1, 8));
+        scenario.run(3_000);
+        assertThat(server.running.keySet()).containsExactly("lasting.0.0.0#1");
+    }
+
+    private static JobSpecification job(String id, String team, StepSpecification step) {
+        return new JobSpecification(id, "normal", team, "payload", List.of(step), 0, 0, 0);
+    }
+}
