Keep the room that is freed for an urgent step from other jobs

Change: freed room belongs to its step until it starts; every pass reserves it before it places anything.

Ruled out: a longer limit alone; the room was taken before the limit. Tests: FreedRoomTest, two of which fail before.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -18,9 +18,6 @@
  * each piece as it is freed.
  */
 final class PlacementPass {
-    /** Room that is being freed is kept this long: a stop, its report and the delay of both. */
-    private static final long PLAN_MILLISECONDS = 1_200;
-
     /**
      * An urgent job stops others at once when they lose little; otherwise it waits this long for room to become free by
      * itself. The objective of urgent jobs leaves half their run time, more than this for most.
@@ -81,7 +78,18 @@
 
     void run() {
         reserve.observe(entitlements.urgentAccelerators(), now);
-        jobs.stream()
+        List<Candidate> candidates = candidates();
+        candidates.stream().flatMap(candidate -> candidate.job().steps.stream()).forEach(step -> {
+            if (!step.freed.isKept(now)) {
+                step.freed = FreedRoom.NONE;
+            }
+            step.freed.reserve(room, servers);
+        });
+        candidates.forEach(this::placeJob);
+    }
+
+    private List<Candidate> candidates() {
+        return jobs.stream()
                 .filter(job -> !job.phase.isFinal())
                 .flatMap(job -> configuration
                         .queue(job.specification.queue())
@@ -91,7 +99,7 @@
                                 (Candidate candidate) -> candidate.queue().priority())
                         .thenComparingInt(candidate -> candidate.entitled() ? 0 : 1)
                         .thenComparingLong(candidate -> candidate.job().acceptedRevision))
-                .forEach(this::placeJob);
+                .toList();
     }
 
     private void placeJob(Candidate candidate) {
@@ -101,8 +109,10 @@
     }
 
     private void placeStep(Candidate candidate, StepState step) {
+        step.freed.release(room, servers);
         if (step.tasks.stream().noneMatch(TaskState::waits)) {
             step.readySince = 0;
+            step.freed = FreedRoom.NONE;
             return;
         }
         if (step.readySince == 0) {
@@ -111,7 +121,7 @@
         step.advice.required = candidate.queue().advice().isPresent();
         boolean placed = step.gang() ? placeGang(candidate, step) : placeEach(candidate, step);
         if (placed) {
-            step.plan = Map.of();
+            step.freed = FreedRoom.NONE;
         } else {
             candidate.queue().advice().ifPresent(settings -> askAdvice(candidate, step, settings));
             if (candidate.queue().priority() == 0) {
@@ -182,19 +192,15 @@
         if (step.gang() && !step.tasks.stream().allMatch(TaskState::waits)) {
             return;
         }
-        if (step.plan.isEmpty() || step.planUntil <= now) {
-            step.plan = Map.of();
+        if (step.freed == FreedRoom.NONE) {
             findPlan(candidate, step)
                     .filter(plan -> isWorthIt(candidate, step, plan))
                     .ifPresent(plan -> {
                         plan.victims().forEach(run -> actions.preempt(run, candidate.job()));
-                        step.plan = plan.room();
-                        step.planUntil = now + PLAN_MILLISECONDS;
+                        step.freed = FreedRoom.of(plan, now);
                     });
         }
-        servers.stream()
-                .filter(server -> step.plan.containsKey(server.id))
-                .forEach(server -> room.take(server, step.plan.get(server.id)));
+        step.freed.reserve(room, servers);
     }
 
     private boolean isWorthIt(Candidate candidate, StepState step, Preemption.Plan plan) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
@@ -2,10 +2,8 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
-import org.teaselwood.workload.model.Resources;
 import org.teaselwood.workload.model.StepSpecification;
 import org.teaselwood.workload.model.TaskName;
 import org.teaselwood.workload.record.StepRecord;
@@ -24,11 +22,8 @@
     /** Permissions of the advice service. */
     final StepAdvice advice = new StepAdvice();
 
-    /** Room that is being freed for this step, by backend server. */
-    Map<String, Resources> plan = Map.of();
-
-    /** The plan is given up at this time, in milliseconds. */
-    long planUntil;
+    /** Room that is being freed for this step. */
+    FreedRoom freed = FreedRoom.NONE;
 
     /** Since when the step could run and did not, in milliseconds; 0 while it can't. */
     long readySince;
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToLongFunction;
 import org.teaselwood.protocol.message.WorkMessage;
 import org.teaselwood.protocol.message.WorkMessage.EndKind;
@@ -20,7 +22,6 @@
  */
 final class FakeServer {
     private static final int REPORT_MILLISECONDS = 500;
-    private static final int STOP_MILLISECONDS = 200;
 
     final ServerDescription description;
     final Map<String, Long> running = new LinkedHashMap<>();
@@ -54,6 +55,12 @@
     /** Whether tasks run until they are stopped and are at work soon. */
     boolean lasting;
 
+    /** Tasks that were stopped by an order. */
+    final Set<String> stopped = new HashSet<>();
+
+    /** Time that a stop takes. */
+    long stopMilliseconds = 200;
+
     /** Runs that make no progress. */
     boolean hangs;
 
@@ -223,8 +230,9 @@
         highestStopped.merge(order.task(), order.attempt(), Math::max);
         String key = order.task() + "#" + order.attempt();
         if (running.containsKey(key)) {
-            stopping.putIfAbsent(key, now + STOP_MILLISECONDS);
+            stopping.putIfAbsent(key, now + stopMilliseconds);
         }
+        stopped.add(order.task());
         answer(order.task(), order.attempt(), OrderOutcome.STOPPED);
         nextReport = 0;
     }
--- /dev/null
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FreedRoomTest.java
@@ -0,0 +1,95 @@
+package org.teaselwood.workload.placer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.workload.model.JobSpecification;
+import org.teaselwood.workload.model.Resources;
+import org.teaselwood.workload.model.StepSpecification;
+
+/** Room that is freed for an urgent job stays with that job, so that it does not stop others again and again. */
+final class FreedRoomTest {
+    private static final long LONG_MILLISECONDS = 60_000;
+
+    private final PlacerScenario scenario = new PlacerScenario();
+
+    private static StepSpecification gang(int count, int accelerators) {
+        return new StepSpecification(
+                count,
+                new Resources(1_000, 1_000, accelerators),
+                20_000,
+                List.of(),
+                false,
+                true,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                0,
+                0);
+    }
+
+    private void fill(String job, int accelerators) {
+        for (int index = 0; index < accelerators; index++) {
+            scenario.work.put(job + ".0.0." + index, LONG_MILLISECONDS);
+        }
+        scenario.submit(job, "batch", PlacerScenario.step(accelerators, 1));
+        scenario.run(300);
+    }
+
+    private void submitWithoutGuarantee(String id, StepSpecification step) {
+        for (int index = 0; index < step.count(); index++) {
+            scenario.work.put(id + ".0.0." + index, LONG_MILLISECONDS);
+        }
+        scenario.submit(new JobSpecification(id, "urgent", "other", "payload", List.of(step), 0, 0, 0));
+    }
+
+    private long stopped() {
+        return scenario.servers.values().stream()
+                .flatMap(server -> server.stopped.stream())
+                .filter(task -> task.startsWith("batch"))
+                .count();
+    }
+
+    @Test
+    void a_guaranteed_job_does_not_take_the_room_that_is_freed_for_an_earlier_urgent_job() {
+        scenario.server("s1", "r1");
+        scenario.server("s2", "r1");
+        fill("batch", 16);
+        submitWithoutGuarantee("first", gang(1, 8));
+        scenario.run(100);
+        scenario.work.put("second.0.0.0", LONG_MILLISECONDS);
+        scenario.submit("second", "urgent", PlacerScenario.step(1, 4));
+        scenario.run(400);
+        assertThat(scenario.starts("first.0.0.0")).isEqualTo(1);
+        assertThat(stopped()).isEqualTo(8);
+    }
+
+    @Test
+    void a_stop_that_takes_long_does_not_make_the_job_stop_more_runs() {
+        scenario.server("s3", "r1");
+        fill("batch2", 8);
+        scenario.run(2_000);
+        scenario.server("s1", "r1");
+        scenario.server("s2", "r1").stopMilliseconds = 1_600;
+        fill("batch", 16);
+        submitWithoutGuarantee("first", gang(2, 8));
+        scenario.run(3_500);
+        assertThat(scenario.starts("first.0.0.0")).isEqualTo(1);
+        assertThat(stopped()).isEqualTo(16);
+    }
+
+    @Test
+    void room_is_given_up_when_its_victims_do_not_end() {
+        scenario.server("s1", "r1").stopMilliseconds = LONG_MILLISECONDS;
+        fill("batch", 8);
+        submitWithoutGuarantee("first", gang(1, 8));
+        scenario.run(1_000);
+        scenario.server("s2", "r1");
+        scenario.run(4_000);
+        assertThat(scenario.starts("first.0.0.0")).isEqualTo(1);
+    }
+}
