Count the stop of an urgent run four times when victims are chosen

Cause: guaranteed jobs stopped urgent jobs without a guarantee, whose short runs lose the least, and these then stopped other work again. The loss of an urgent run is now weighed by four, so that ordinary work is stopped first unless it loses much more. Ruled out: never stopping urgent runs; a guarantee must hold also when nothing else runs. Test: FreedRoomTest, which fails with a factor of one.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
@@ -66,6 +66,10 @@
         return urgentAccelerators;
     }
 
+    boolean isUrgent(JobState job) {
+        return priority(job) == 0;
+    }
+
     boolean isEntitled(JobState job) {
         return entitled.contains(job);
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import org.teaselwood.workload.model.AdviceSettings;
 import org.teaselwood.workload.model.QueueSettings;
 import org.teaselwood.workload.model.WorkloadConfiguration;
@@ -74,6 +73,9 @@
         this.reserve = reserve;
     }
 
+    /** An urgent run that is stopped is late, and its job stops others in turn. */
+    private static final double URGENT_LOSS_FACTOR = 4.0;
+
     private record Candidate(JobState job, QueueSettings queue, boolean entitled) {}
 
     void run() {
@@ -209,9 +211,14 @@
                 || now - step.readySince >= PATIENCE_MILLISECONDS && (candidate.entitled() || loss <= LARGEST_LOSS);
     }
 
+    private double lossOf(Run run) {
+        return run.lossIfStopped(now) * (entitlements.isUrgent(run.job) ? URGENT_LOSS_FACTOR : 1);
+    }
+
     private Optional<Preemption.Plan> findPlan(Candidate candidate, StepState step) {
         String service = candidate.queue().service();
-        Predicate<Run> mayStop = run -> entitlements.mayStop(run, candidate.entitled());
+        Preemption.StopRules rules =
+                new Preemption.StopRules(run -> entitlements.mayStop(run, candidate.entitled()), this::lossOf);
         List<ServerState> all = room.eligible(service, step).toList();
         Collection<List<ServerState>> groups = List.of(all);
         if (step.specification.sameRack()) {
@@ -220,9 +227,9 @@
                     .toList();
             groups = holding.isEmpty() ? groups : holding;
         }
-        return Preemption.cheapest(room, groups, step, mayStop, now)
+        return Preemption.cheapest(room, groups, step, rules, now)
                 .or(() -> candidate.entitled()
-                        ? Preemption.cheapest(room, List.of(all), step, mayStop, now)
+                        ? Preemption.cheapest(room, List.of(all), step, rules, now)
                         : Optional.empty());
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Preemption.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Preemption.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import org.teaselwood.workload.model.Resources;
 
 /**
@@ -28,32 +29,34 @@
      */
     record Plan(Set<Run> victims, Map<String, Resources> room, double loss) {}
 
+    /**
+     * Which runs may be stopped, and what that loses.
+     *
+     * @param loss loss in core-seconds, or a multiple of it for runs whose stop has further costs
+     */
+    record StopRules(Predicate<Run> mayStop, ToDoubleFunction<Run> loss) {}
+
     private Preemption() {}
 
     /** The cheapest plan among the groups of servers, empty when no group has enough that may be stopped. */
     static Optional<Plan> cheapest(
-            Room room, Collection<List<ServerState>> groups, StepState step, Predicate<Run> mayStop, long now) {
+            Room room, Collection<List<ServerState>> groups, StepState step, StopRules rules, long now) {
         List<TaskState> waiting = step.tasks.stream().filter(TaskState::waits).toList();
         return groups.stream()
-                .map(servers -> plan(room.copy(), servers, step, waiting, mayStop, now))
+                .map(servers -> plan(room.copy(), servers, step, waiting, rules, now))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(Plan::loss));
     }
 
     private static Optional<Plan> plan(
-            Room room,
-            List<ServerState> servers,
-            StepState step,
-            List<TaskState> waiting,
-            Predicate<Run> mayStop,
-            long now) {
+            Room room, List<ServerState> servers, StepState step, List<TaskState> waiting, StopRules rules, long now) {
         Resources each = step.specification.reserved();
         Set<Run> victims = new LinkedHashSet<>();
         Map<String, Resources> taken = new LinkedHashMap<>();
         for (int placed = 0; placed < waiting.size(); placed++) {
             Optional<Choice> best = servers.stream()
                     .filter(server -> server.quarantinedUntil <= now)
-                    .map(server -> choose(room, server, each, victims, mayStop, now))
+                    .map(server -> choose(room, server, each, victims, rules, now))
                     .flatMap(Optional::stream)
                     .min(Comparator.comparingDouble(Choice::loss));
             if (best.isEmpty()) {
@@ -64,21 +67,20 @@
             room.take(choice.server(), each);
             taken.merge(choice.server().id, each, Resources::plus);
         }
-        double loss =
-                victims.stream().mapToDouble(run -> run.lossIfStopped(now)).sum();
+        double loss = victims.stream().mapToDouble(rules.loss()).sum();
         return Optional.of(new Plan(victims, taken, loss));
     }
 
     private record Choice(ServerState server, List<Run> victims, double loss) {}
 
     private static Optional<Choice> choose(
-            Room room, ServerState server, Resources each, Set<Run> victims, Predicate<Run> mayStop, long now) {
+            Room room, ServerState server, Resources each, Set<Run> victims, StopRules rules, long now) {
         Resources free = room.freeOf(server);
         List<Run> chosen = new ArrayList<>();
         List<Run> candidates = server.runs.values().stream()
                 .filter(run -> run.state != RunState.STOPPING && !victims.contains(run))
-                .filter(mayStop)
-                .sorted(Comparator.comparingDouble(run -> lossWithGang(run, now)))
+                .filter(rules.mayStop())
+                .sorted(Comparator.comparingDouble(run -> lossWithGang(run, rules)))
                 .toList();
         for (Run run : candidates) {
             if (free.covers(each)) {
@@ -98,14 +100,13 @@
                 chosen.remove(run);
             }
         }
-        double loss = chosen.stream().mapToDouble(run -> lossWithGang(run, now)).sum();
+        double loss =
+                chosen.stream().mapToDouble(run -> lossWithGang(run, rules)).sum();
         return Optional.of(new Choice(server, chosen, loss));
     }
 
-    private static double lossWithGang(Run run, long now) {
-        return members(run).stream()
-                .mapToDouble(member -> member.lossIfStopped(now))
-                .sum();
+    private static double lossWithGang(Run run, StopRules rules) {
+        return members(run).stream().mapToDouble(rules.loss()).sum();
     }
 
     private static void addWithGang(Run run, Set<Run> victims, Room room) {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FreedRoomTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FreedRoomTest.java
@@ -82,6 +82,21 @@
         assertThat(stopped()).isEqualTo(16);
     }
 
+    @Test
+    void a_guaranteed_job_stops_ordinary_work_rather_than_an_urgent_job_that_would_stop_others_in_turn() {
+        scenario.server("s1", "r1");
+        scenario.server("s2", "r1");
+        fill("batch", 16);
+        submitWithoutGuarantee("first", gang(1, 8));
+        scenario.run(100);
+        scenario.work.put("second.0.0.0", LONG_MILLISECONDS);
+        scenario.submit("second", "urgent", PlacerScenario.step(1, 4));
+        scenario.run(1_500);
+        assertThat(scenario.starts("first.0.0.0")).isEqualTo(1);
+        assertThat(scenario.starts("second.0.0.0")).isEqualTo(1);
+        assertThat(stopped()).isEqualTo(12);
+    }
+
     @Test
     void room_is_given_up_when_its_victims_do_not_end() {
         scenario.server("s1", "r1").stopMilliseconds = LONG_MILLISECONDS;
