Ignore late reports of old connections, and starts that were held back

Cause: a cut of an agent's VM healed and the old connection delivered its reports after a new one was in use. The placer took the change of connection for a restart of the agent, forgot which calls of the agent had confirmed its runs, and with the next old report found them missing. A list that an agent sends again on its new connection had the same effect.

Change: connections are numbered in the order of their acceptance and what an older one delivers is ignored. Reports name the process of the agent, and only another process makes the numbers of its calls incomparable. The comparison is a class of its own. A start names the agent's clock that the placer saw last; an agent that was frozen or cut refuses a start that is older than a contact, because the task may run elsewhere by then.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
@@ -65,6 +65,7 @@
     /**
      * State of the backend server beside an agent.
      *
+     * @param agentLife identifies the process of the agent; numbers of server calls of two processes do not compare
      * @param term highest term that the server obeyed when it was read
      * @param draining whether the server takes no new task
      * @param responsive whether the server answered its agent recently
@@ -75,6 +76,7 @@
      */
     record ServerReport(
             ServerDescription description,
+            long agentLife,
             long term,
             boolean draining,
             boolean responsive,
@@ -118,10 +120,13 @@
     /**
      * Starts a task.
      *
+     * @param echoMilliseconds the agent's clock in its newest report that the placer has seen; it tells the age of the
+     *     order
      * @param ticket permission of the advice service, empty when the queue needs none
      */
     record StartTask(
             long term,
+            long echoMilliseconds,
             String server,
             long start,
             String task,
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.protocol.MonotonicClock;
@@ -47,6 +48,9 @@
     /** Added to the clock of the server, so that the server shortens the lease to its own maximum. */
     private final long leaseMilliseconds;
 
+    /** Tells this process from an earlier agent of the same server. */
+    private final long agentLife = ThreadLocalRandom.current().nextLong();
+
     private final Vertx vertx;
     private final MonotonicClock clock;
     private final BackendServerCalls calls;
@@ -281,6 +285,7 @@
         reportedAt = now;
         send(new ServerReport(
                 announcement.description(),
+                agentLife,
                 listsTerm,
                 announcement.draining(),
                 now - answeredAt <= UNRESPONSIVE_MILLISECONDS,
@@ -330,13 +335,25 @@
 
     private void startOrdered(WorkMessage.StartTask order) {
         String key = order.task() + "#" + order.attempt();
-        if (announcement.draining()) {
+        if (isOutdated(order)) {
+            LOGGER.info("refused the start of {}, which was ordered too long ago", key);
+            answer(order.task(), order.attempt(), OrderOutcome.UNAVAILABLE);
+        } else if (announcement.draining()) {
             answer(order.task(), order.attempt(), OrderOutcome.UNAVAILABLE);
         } else if (startsInProgress.add(key)) {
             tryStart(order, key, clock.nowMilliseconds(), false);
         }
     }
 
+    /**
+     * A start that was held back by a freeze or a cut may come after the placer has given this server up and placed the
+     * task elsewhere. The placer waits longer than the limit here before it does so.
+     */
+    private boolean isOutdated(WorkMessage.StartTask order) {
+        long age = clock.nowMilliseconds() - order.echoMilliseconds();
+        return age < 0 || age > WorkloadTimings.CONTACT_MILLISECONDS;
+    }
+
     private void tryStart(WorkMessage.StartTask order, String key, long since, boolean unanswered) {
         long startOfLife = life;
         calls.start(new BackendServerCalls.StartRequest(
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -266,7 +266,7 @@
         AgentConnection connection = received.connection();
         switch (received.message()) {
             case WorkMessage.ServerReport report -> running.report(connection, report, now);
-            case WorkMessage.OrderResult result -> running.orderAnswered(result, now);
+            case WorkMessage.OrderResult result -> running.orderAnswered(connection, result, now);
             case WorkMessage.ServerLeft left -> running.serverLeft(left.server(), left.start(), now);
             case WorkMessage order ->
                 LOGGER.warn("ignored {} from an agent", order.getClass().getSimpleName());
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
@@ -5,6 +5,7 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.protocol.DutyThread;
@@ -36,6 +37,7 @@
     private final TermElection.Candidate candidate;
     private final PlacerDuty duty;
     private final TermElection election;
+    private final AtomicLong connections = new AtomicLong();
 
     /** An entry that is started by {@link #start}. */
     public WorkEntry(
@@ -120,6 +122,7 @@
     }
 
     private final class AgentListener implements MessageConnection.Listener, AgentConnection {
+        private final long number = connections.incrementAndGet();
         private MessageConnection connection;
 
         @Override
@@ -141,6 +144,11 @@
             duty.offer(new PlacerEvent.Disconnected(this));
         }
 
+        @Override
+        public long number() {
+            return number;
+        }
+
         @Override
         public void send(WorkMessage message) {
             connection.send(message);
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
@@ -0,0 +1,104 @@
+package org.teaselwood.workload.placer;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.message.WorkMessage.RunningTask;
+import org.teaselwood.protocol.message.WorkMessage.ServerReport;
+import org.teaselwood.workload.model.Resources;
+import org.teaselwood.workload.model.TaskName;
+import org.teaselwood.workload.record.JobPhase;
+
+/**
+ * Compares what a backend server reports with what was ordered there. Confined to the placer's duty thread.
+ *
+ * <p>A run that was confirmed and is missing in the report has ended, but only if the report's lists were read after
+ * the confirmation. Calls of the agent are numbered for that; the numbers of two processes of the agent do not compare,
+ * so that after a restart of the agent every list that it has read counts as newer. Taking every list of a new
+ * connection as newer would lose runs, because the agent sends its last lists again.
+ */
+final class Reconciliation {
+    private static final Logger LOGGER = LoggerFactory.getLogger(Reconciliation.class);
+
+    private final Map<String, JobState> jobs;
+    private final Runs runs;
+
+    Reconciliation(Map<String, JobState> jobs, Runs runs) {
+        this.jobs = jobs;
+        this.runs = runs;
+    }
+
+    /** Takes over what a report of the present term says about the runs of a server. */
+    void reconcile(ServerState server, ServerReport report, long now) {
+        if (server.agentLife != report.agentLife()) {
+            server.agentLife = report.agentLife();
+            server.runs.values().stream()
+                    .filter(run -> run.state == RunState.RUNNING)
+                    .forEach(run -> run.confirmedOperation = 0);
+        }
+        Map<String, RunningTask> running = report.running().stream()
+                .collect(Collectors.toMap(task -> Run.key(task.task(), task.attempt()), task -> task, (a, b) -> a));
+        server.strayRuns.clear();
+        running.forEach((key, task) -> {
+            Run run = server.runs.get(key);
+            if (run == null) {
+                strayRun(server, key, task);
+            } else {
+                observe(run, task, report.operation(), now);
+            }
+        });
+        List<Run> missing = server.runs.values().stream()
+                .filter(run -> !running.containsKey(run.key()))
+                .filter(run -> run.state == RunState.RECOVERED
+                        || run.confirmedOperation >= 0 && report.operation() > run.confirmedOperation)
+                .toList();
+        missing.forEach(run -> {
+            LOGGER.info("task {} attempt {} is not on {} any more", run.task.name, run.attempt, server.id);
+            runs.remove(run, now);
+        });
+        server.reconciled = true;
+    }
+
+    private void strayRun(ServerState server, String key, RunningTask task) {
+        Resources taken = TaskName.parse(task.task())
+                .flatMap(name -> Optional.ofNullable(jobs.get(name.job()))
+                        .flatMap(job -> job.step(name.occurrence(), name.step())))
+                .map(step -> step.specification.reserved())
+                .orElse(Resources.NONE);
+        server.strayRuns.put(key, taken);
+        LOGGER.warn("task {} attempt {} on {} does not count; stopping it", task.task(), task.attempt(), server.id);
+        runs.sendStop(server, task.task(), task.attempt());
+    }
+
+    private void observe(Run run, RunningTask task, long operation, long now) {
+        run.step.saveCheckpoint(run.task, task.checkpoint());
+        run.load = task.load();
+        if (task.percent() != run.percent) {
+            run.percent = task.percent();
+            run.progressAt = now;
+        }
+        if (run.state == RunState.ORDERED || run.state == RunState.RECOVERED) {
+            run.state = RunState.RUNNING;
+            run.progressAt = now;
+            run.confirmedOperation = operation;
+            if (run.job.phase.isFinal() && run.job.phase != JobPhase.COMPLETED) {
+                runs.stop(run, now);
+            }
+        }
+    }
+
+    /** Repeats what a former connection may have lost. */
+    void repeatOrders(ServerState server) {
+        server.runs.values().forEach(run -> {
+            if (run.state == RunState.ORDERED) {
+                runs.sendStart(run);
+            } else if (run.state == RunState.STOPPING) {
+                run.confirmedOperation = -1;
+                runs.sendStop(server, run.task.name.toString(), run.attempt);
+            }
+        });
+    }
+}
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
@@ -71,6 +71,7 @@
                 run.server,
                 new WorkMessage.StartTask(
                         term,
+                        run.server.agentClock,
                         run.server.id,
                         run.server.start,
                         run.task.name.toString(),
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
@@ -31,6 +31,15 @@
     /** The agent's connection, null when there is none. */
     AgentConnection connection;
 
+    /** Number of the newest connection that reported. */
+    long connectionNumber = -1;
+
+    /** Process of the agent that reported last. */
+    long agentLife;
+
+    /** Clock of the agent in its newest report. */
+    long agentClock;
+
     long heardAt;
     boolean draining;
     boolean responsive = true;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -5,18 +5,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.protocol.message.WorkMessage;
 import org.teaselwood.protocol.message.WorkMessage.OrderResult;
-import org.teaselwood.protocol.message.WorkMessage.RunningTask;
 import org.teaselwood.protocol.message.WorkMessage.ServerReport;
 import org.teaselwood.workload.model.AdviceSettings;
 import org.teaselwood.workload.model.JobSpecification;
 import org.teaselwood.workload.model.QueueSettings;
-import org.teaselwood.workload.model.Resources;
-import org.teaselwood.workload.model.TaskName;
 import org.teaselwood.workload.model.WorkloadConfiguration;
 import org.teaselwood.workload.model.WorkloadTimings;
 import org.teaselwood.workload.record.JobPhase;
@@ -59,6 +55,7 @@
     private final Ends ends;
     private final Restoration restoration;
     private final RunSupervision supervision;
+    private final Reconciliation reconciliation;
     private final Pacing pacing;
     private final AdviceRequests advice;
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
@@ -82,6 +79,7 @@
         this.ends = new Ends(jobs, writes, runs);
         this.restoration = new Restoration(servers);
         this.supervision = new RunSupervision(servers, runs, timings);
+        this.reconciliation = new Reconciliation(jobs, runs);
         this.pacing = new Pacing(term);
         this.advice = new AdviceRequests(effects);
     }
@@ -140,13 +138,19 @@
             return;
         }
         ServerState server = found.get();
+        if (connection.number() < server.connectionNumber) {
+            LOGGER.info("ignored an old report of {} that arrived late", server.id);
+            return;
+        }
         boolean reconnected = server.connection != connection;
         boolean changed = reconnected
                 || server.draining != report.draining()
                 || server.responsive != report.responsive()
                 || !server.reconciled;
         server.connection = connection;
+        server.connectionNumber = connection.number();
         server.description = report.description();
+        server.agentClock = report.sentMilliseconds();
         server.heardAt = now;
         server.responsive = report.responsive();
         if (server.draining != report.draining()) {
@@ -157,10 +161,10 @@
             report.ended().stream()
                     .filter(ended -> ended.number() > server.processedEnds)
                     .forEach(ended -> ends.ended(server, ended, now));
-            reconcile(server, report, now);
+            reconciliation.reconcile(server, report, now);
             pacing.adjust(server, now);
             if (reconnected) {
-                repeatOrders(server);
+                reconciliation.repeatOrders(server);
             }
         }
         connection.send(new WorkMessage.Contact(
@@ -171,9 +175,9 @@
     }
 
     /** An agent answered an order. */
-    public void orderAnswered(OrderResult result, long now) {
+    public void orderAnswered(AgentConnection connection, OrderResult result, long now) {
         ServerState server = servers.get(result.server());
-        if (server == null || server.start != result.start()) {
+        if (server == null || server.start != result.start() || connection.number() < server.connectionNumber) {
             return;
         }
         Run run = server.runs.get(Run.key(result.task(), result.attempt()));
@@ -370,70 +374,6 @@
         }));
     }
 
-    private void reconcile(ServerState server, ServerReport report, long now) {
-        Map<String, RunningTask> running = report.running().stream()
-                .collect(Collectors.toMap(task -> Run.key(task.task(), task.attempt()), task -> task, (a, b) -> a));
-        server.strayRuns.clear();
-        running.forEach((key, task) -> {
-            Run run = server.runs.get(key);
-            if (run == null) {
-                strayRun(server, key, task);
-            } else {
-                observe(run, task, report.operation(), now);
-            }
-        });
-        List<Run> missing = server.runs.values().stream()
-                .filter(run -> !running.containsKey(run.key()))
-                .filter(run -> run.state == RunState.RECOVERED
-                        || run.confirmedOperation >= 0 && report.operation() > run.confirmedOperation)
-                .toList();
-        missing.forEach(run -> {
-            LOGGER.info("task {} attempt {} is not on {} any more", run.task.name, run.attempt, server.id);
-            runs.remove(run, now);
-        });
-        server.reconciled = true;
-    }
-
-    private void strayRun(ServerState server, String key, RunningTask task) {
-        Resources taken = TaskName.parse(task.task())
-                .flatMap(name -> Optional.ofNullable(jobs.get(name.job()))
-                        .flatMap(job -> job.step(name.occurrence(), name.step())))
-                .map(step -> step.specification.reserved())
-                .orElse(Resources.NONE);
-        server.strayRuns.put(key, taken);
-        LOGGER.warn("task {} attempt {} on {} does not count; stopping it", task.task(), task.attempt(), server.id);
-        runs.sendStop(server, task.task(), task.attempt());
-    }
-
-    private void observe(Run run, RunningTask task, long operation, long now) {
-        run.step.saveCheckpoint(run.task, task.checkpoint());
-        run.load = task.load();
-        if (task.percent() != run.percent) {
-            run.percent = task.percent();
-            run.progressAt = now;
-        }
-        if (run.state == RunState.ORDERED || run.state == RunState.RECOVERED) {
-            run.state = RunState.RUNNING;
-            run.progressAt = now;
-            run.confirmedOperation = operation;
-            if (run.job.phase.isFinal() && run.job.phase != JobPhase.COMPLETED) {
-                runs.stop(run, now);
-            }
-        }
-    }
-
-    private void repeatOrders(ServerState server) {
-        server.runs.values().forEach(run -> {
-            run.confirmedOperation = run.state == RunState.RUNNING ? 0 : run.confirmedOperation;
-            if (run.state == RunState.ORDERED) {
-                runs.sendStart(run);
-            } else if (run.state == RunState.STOPPING) {
-                run.confirmedOperation = -1;
-                runs.sendStop(server, run.task.name.toString(), run.attempt);
-            }
-        });
-    }
-
     private void loseServer(ServerState server, String reason, long now) {
         LOGGER.info("backend server {} is gone with {} runs: {}", server.id, server.runs.size(), reason);
         servers.remove(server.id);
--- /dev/null
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
@@ -0,0 +1,61 @@
+package org.teaselwood.workload.placer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.teaselwood.protocol.message.WorkMessage;
+
+/** Reports that arrive late or say less than they seem to, after the connection of an agent was lost. */
+final class AgentReportsTest {
+    private final PlacerScenario scenario = new PlacerScenario();
+
+    @Test
+    void reports_that_an_old_connection_delivers_late_do_not_end_runs() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.run(600);
+        AgentConnection old = server.connection;
+        WorkMessage.ServerReport before = server.lastReport;
+        scenario.connect(server);
+        scenario.work.put("job.0.0.0", 10_000L);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(600);
+        scenario.placer.report(old, before, scenario.now);
+        scenario.placer.report(old, before, scenario.now);
+        scenario.run(1_000);
+        assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
+        assertThat(server.running).hasSize(1);
+    }
+
+    @Test
+    void lists_that_are_sent_again_on_a_new_connection_do_not_end_runs_that_began_after_them() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.run(600);
+        WorkMessage.ServerReport before = server.lastReport;
+        scenario.work.put("job.0.0.0", 10_000L);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(100);
+        assertThat(server.running).hasSize(1);
+        scenario.connect(server);
+        scenario.placer.report(server.connection, before, scenario.now);
+        scenario.placer.report(server.connection, before, scenario.now);
+        scenario.run(1_000);
+        assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
+        assertThat(server.running).hasSize(1);
+    }
+
+    @Test
+    void a_run_that_a_restarted_agent_does_not_find_is_placed_again() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.work.put("job.0.0.0", 10_000L);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(20_000);
+        scenario.submit("job2", "normal", PlacerScenario.step(1, 1));
+        scenario.work.put("job2.0.0.0", 10_000L);
+        scenario.run(1_000);
+        server.running.clear();
+        server.restartAgent();
+        scenario.connect(server);
+        scenario.run(1_000);
+        assertThat(scenario.starts("job2.0.0.0")).isEqualTo(2);
+    }
+}
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -72,7 +72,14 @@
     private final Map<String, Integer> highestStopped = new HashMap<>();
     private final Map<String, Long> stopping = new LinkedHashMap<>();
     private final List<WorkMessage> outbox = new ArrayList<>();
-    private AgentConnection connection;
+    /** Process of the agent. */
+    long agentLife = 1;
+
+    /** The newest report that was sent. */
+    WorkMessage.ServerReport lastReport;
+
+    private long connections;
+    AgentConnection connection;
     private long nextReport;
     private long endNumber;
     private long operation;
@@ -103,9 +110,18 @@
     void connect(long newTerm) {
         term = newTerm;
         nextReport = 0;
-        connection = message -> {
-            if (connected) {
-                received(message);
+        long number = ++connections;
+        connection = new AgentConnection() {
+            @Override
+            public long number() {
+                return number;
+            }
+
+            @Override
+            public void send(WorkMessage message) {
+                if (connected) {
+                    received(message);
+                }
             }
         };
     }
@@ -137,7 +153,7 @@
         messages.forEach(message -> {
             switch (message) {
                 case WorkMessage.ServerReport report -> placer.report(connection, report, now);
-                case WorkMessage.OrderResult result -> placer.orderAnswered(result, now);
+                case WorkMessage.OrderResult result -> placer.orderAnswered(connection, result, now);
                 default -> throw new AssertionError(message);
             }
         });
@@ -152,6 +168,13 @@
         }
     }
 
+    /** Another process of the agent begins; it numbers its calls anew. */
+    void restartAgent() {
+        agentLife++;
+        operation = 0;
+        outbox.clear();
+    }
+
     /** Ends everything, as when the lease has run out. */
     void lapse() {
         List.copyOf(running.keySet()).forEach(key -> end(key, EndKind.LAPSED));
@@ -183,8 +206,9 @@
                             loads.getOrDefault(run.getKey().substring(0, split), 0));
                 })
                 .toList();
-        outbox.add(new WorkMessage.ServerReport(
-                description, term, draining, true, now, ++operation, tasks, List.copyOf(ended)));
+        lastReport = new WorkMessage.ServerReport(
+                description, agentLife, term, draining, true, now, ++operation, tasks, List.copyOf(ended));
+        outbox.add(lastReport);
     }
 
     private void received(WorkMessage message) {
