Forget jobs that ended long ago, and keep the jobs of teams apart

- Nothing removed stored jobs, so that the time of every takeover grew with the age of the deployment.
A cancellation is stored only while the accepted job is.
- The state of a job was told to, and its cancel taken from, any team.
Both now answer that there is no such job, and a submission under an identifier that another team uses is refused with 409 instead of being taken for a repetition.
- The life of a server that a report names is found by its VM; the scan over all servers for each report was quadratic in the number of agents.
- Freed room is kept for the stop time of the deployment and a second more.

--- a/teaselwood-settings/src/main/java/org/teaselwood/settings/WorkloadSettings.java
+++ b/teaselwood-settings/src/main/java/org/teaselwood/settings/WorkloadSettings.java
@@ -22,6 +22,7 @@
  * @param longestHoldMilliseconds longest lease of what runs on a backend server
  * @param gangWaitMilliseconds time after which a lone member of a gang ends
  * @param stopMilliseconds longest time that a stop takes
+ * @param statusMilliseconds time for which the state of a job that has ended is told at least
  * @param graceMilliseconds time between a request to stop the process and its end
  */
 public record WorkloadSettings(
@@ -39,9 +40,13 @@
         long longestHoldMilliseconds,
         long gangWaitMilliseconds,
         long stopMilliseconds,
+        long statusMilliseconds,
         long graceMilliseconds) {
     private static final long HOUR_MILLISECONDS = 3_600_000;
 
+    /** Two minutes, in which callers ask for the end of a job. */
+    private static final long DEFAULT_STATUS_MILLISECONDS = 120_000;
+
     private static final Setting<String> NAME = Setting.required("name", ValueTypes.name());
     private static final Setting<String> DATA_CENTRE = Setting.required("data-centre", ValueTypes.name());
     private static final Setting<NetworkAddress> INTERNAL = Setting.required("internal", ValueTypes.address());
@@ -77,8 +82,10 @@
     private static final Setting<Long> GANG_WAIT =
             Setting.required("gang-wait", ValueTypes.duration(1, HOUR_MILLISECONDS));
     private static final Setting<Long> STOP = Setting.required("stop", ValueTypes.duration(0, HOUR_MILLISECONDS));
+    private static final Setting<Long> STATUS =
+            Setting.withDefault("status", ValueTypes.duration(1, HOUR_MILLISECONDS), DEFAULT_STATUS_MILLISECONDS);
     private static final Setting<Long> GRACE = Setting.required("grace", ValueTypes.duration(0, HOUR_MILLISECONDS));
-    private static final SectionSchema BOUNDS = SectionSchema.of(LONGEST_HOLD, GANG_WAIT, STOP, GRACE);
+    private static final SectionSchema BOUNDS = SectionSchema.of(LONGEST_HOLD, GANG_WAIT, STOP, STATUS, GRACE);
 
     /**
      * Reads a file.
@@ -114,6 +121,7 @@
                 bounds.get(LONGEST_HOLD),
                 bounds.get(GANG_WAIT),
                 bounds.get(STOP),
+                bounds.get(STATUS),
                 bounds.get(GRACE));
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
@@ -11,11 +11,13 @@
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.store.KeyValue;
 import org.teaselwood.store.KeyValueCondition;
 import org.teaselwood.store.KeyValueOperation;
 import org.teaselwood.store.KeyValueTransaction;
 import org.teaselwood.workload.model.JobSpecification;
 import org.teaselwood.workload.record.JobPhase;
+import org.teaselwood.workload.record.JobRecord;
 import org.teaselwood.workload.record.WorkloadJson;
 import org.teaselwood.workload.record.WorkloadKeys;
 
@@ -59,6 +61,8 @@
         ACCEPTED,
         /** The job is not stored and never will be under this request. */
         NOT_ACCEPTED,
+        /** Another team has a job of this identifier. */
+        IN_USE,
         /** The job may be stored. */
         UNKNOWN
     }
@@ -87,7 +91,7 @@
         KeyValueTransaction creation = new KeyValueTransaction(
                 List.of(new KeyValueCondition(WorkloadKeys.accepted(job.id()), 0)),
                 List.of(new KeyValueOperation.Put(WorkloadKeys.accepted(job.id()), WorkloadJson.encode(job), 0)));
-        return trySubmit(creation, job.id(), Limits.of(clock.nowMilliseconds(), limitMilliseconds), false);
+        return trySubmit(creation, job, Limits.of(clock.nowMilliseconds(), limitMilliseconds), false);
     }
 
     /** Times until which a request is tried, in milliseconds. Immutable. */
@@ -102,13 +106,14 @@
         return next >= limits.until() || store.outageMilliseconds() > 0 && next >= limits.untilInOutage();
     }
 
-    private Uni<Submission> trySubmit(KeyValueTransaction creation, String job, Limits limits, boolean uncertain) {
+    private Uni<Submission> trySubmit(
+            KeyValueTransaction creation, JobSpecification job, Limits limits, boolean uncertain) {
         return store.transact(creation)
-                .map(result -> Submission.ACCEPTED)
+                .chain(result -> result.applied() ? Uni.createFrom().item(Submission.ACCEPTED) : existing(job))
                 .onFailure()
                 .recoverWithUni(failure -> {
                     boolean nowUncertain = uncertain || !isRefusal(failure);
-                    LOGGER.debug("job {} not stored yet: {}", job, failure.getMessage());
+                    LOGGER.debug("job {} not stored yet: {}", job.id(), failure.getMessage());
                     if (isOver(limits)) {
                         return Uni.createFrom().item(nowUncertain ? Submission.UNKNOWN : Submission.NOT_ACCEPTED);
                     }
@@ -116,39 +121,61 @@
                 });
     }
 
+    /** The outcome when a job of this identifier is stored already: a repeated submission, or an identifier in use. */
+    private Uni<Submission> existing(JobSpecification job) {
+        return store.get(WorkloadKeys.accepted(job.id()))
+                .map(item -> teamOf(job.id(), item.orElseThrow()).equals(job.team())
+                        ? Submission.ACCEPTED
+                        : Submission.IN_USE);
+    }
+
+    private static String teamOf(String job, KeyValue accepted) {
+        return WorkloadJson.decodeJob(job, accepted.value()).team();
+    }
+
     /** Whether the store said that it did nothing. */
     private static boolean isRefusal(Throwable failure) {
         return failure instanceof TeaselwoodException exception && exception.kind() == ErrorKind.STORE_REFUSED;
     }
 
-    /** The state of a job, empty when there is no such job. */
-    public Uni<Optional<JobPhase>> phase(String job, long limitMilliseconds) {
+    /** The state of a job of the team, empty when there is no such job. */
+    public Uni<Optional<JobPhase>> phase(String job, String team, long limitMilliseconds) {
         return retried(
                 () -> store.get(WorkloadKeys.progress(job))
                         .chain(progress -> progress.isPresent()
-                                ? Uni.createFrom()
-                                        .item(Optional.of(WorkloadJson.decodeRecord(
-                                                        progress.get().value())
-                                                .phase()))
+                                ? Uni.createFrom().item(phaseOf(progress.get(), team))
                                 : store.get(WorkloadKeys.accepted(job))
-                                        .map(accepted -> accepted.map(item -> JobPhase.QUEUED))),
+                                        .map(accepted -> accepted.filter(item ->
+                                                        teamOf(job, item).equals(team))
+                                                .map(item -> JobPhase.QUEUED))),
                 limitMilliseconds);
     }
 
-    /** Cancels a job; false when there is no such job. */
-    public Uni<Boolean> cancel(String job, long limitMilliseconds) {
+    private static Optional<JobPhase> phaseOf(KeyValue progress, String team) {
+        JobRecord record = WorkloadJson.decodeRecord(progress.value());
+        return record.team().equals(team) ? Optional.of(record.phase()) : Optional.empty();
+    }
+
+    /** Cancels a job of the team; false when there is no such job. */
+    public Uni<Boolean> cancel(String job, String team, long limitMilliseconds) {
         return retried(
                 () -> store.get(WorkloadKeys.accepted(job))
+                        .map(accepted ->
+                                accepted.filter(item -> teamOf(job, item).equals(team)))
                         .chain(accepted -> accepted.isEmpty()
                                 ? Uni.createFrom().item(false)
-                                : store.transact(new KeyValueTransaction(
-                                                List.of(),
-                                                List.of(new KeyValueOperation.Put(
-                                                        WorkloadKeys.cancelled(job), new byte[] {1}, 0))))
-                                        .map(result -> true)),
+                                : storeCancellation(job, accepted.get().revision())),
                 limitMilliseconds);
     }
 
+    /** The condition keeps a cancellation from being stored for a job that is being forgotten. */
+    private Uni<Boolean> storeCancellation(String job, long acceptedRevision) {
+        return store.transact(new KeyValueTransaction(
+                        List.of(new KeyValueCondition(WorkloadKeys.accepted(job), acceptedRevision)),
+                        List.of(new KeyValueOperation.Put(WorkloadKeys.cancelled(job), new byte[] {1}, 0))))
+                .map(result -> result.applied());
+    }
+
     /** Number of jobs of a queue that have not started; fails when no placer has published it lately. */
     public Uni<Integer> pending(String queue, long limitMilliseconds) {
         return retried(
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongConsumer;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.model.TeaselwoodException;
@@ -101,6 +102,8 @@
             when read.term() == term -> withPlacer(running -> running.revisionsRead(read.revisions()));
             case PlacerEvent.WriteFailed failed
             when failed.term() == term -> withPlacer(running -> running.writeFailed(now));
+            case PlacerEvent.Removed removed when removed.term() == term -> withPlacer(WorkPlacer::removed);
+            case PlacerEvent.RemoveFailed failed when failed.term() == term -> withPlacer(WorkPlacer::removeFailed);
             case PlacerEvent.Advised advised
             when advised.term() == term ->
                 withPlacer(running -> running.advised(advised.step(), advised.tickets(), now));
@@ -151,6 +154,28 @@
                         });
     }
 
+    @Override
+    public void remove(List<String> jobs) {
+        long removeTerm = term;
+        List<KeyValueOperation> operations = jobs.stream()
+                .flatMap(job ->
+                        Stream.of(WorkloadKeys.accepted(job), WorkloadKeys.cancelled(job), WorkloadKeys.progress(job)))
+                .<KeyValueOperation>map(KeyValueOperation.Delete::new)
+                .toList();
+        store.transact(new KeyValueTransaction(
+                        List.of(new KeyValueCondition(WorkloadKeys.PLACER, removeTerm)), operations))
+                .subscribe()
+                .with(
+                        result -> offer(
+                                result.applied()
+                                        ? new PlacerEvent.Removed(removeTerm)
+                                        : new PlacerEvent.RemoveFailed(removeTerm)),
+                        failure -> {
+                            LOGGER.info("jobs that ended long ago are still stored: {}", failure.getMessage());
+                            offer(new PlacerEvent.RemoveFailed(removeTerm));
+                        });
+    }
+
     @Override
     public void advise(String step, List<String> servers, long limitMilliseconds) {
         long askTerm = term;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEvent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEvent.java
@@ -36,6 +36,12 @@
     /** A condition of a write did not hold. */
     record RevisionsRead(long term, Map<String, Long> revisions) implements PlacerEvent {}
 
+    /** Jobs that ended long ago are no longer stored. */
+    record Removed(long term) implements PlacerEvent {}
+
+    /** It is not known whether they are. */
+    record RemoveFailed(long term) implements PlacerEvent {}
+
     /** The advice service has answered. */
     record Advised(long term, String step, Map<String, String> tickets) implements PlacerEvent {}
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadTimings.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadTimings.java
@@ -6,8 +6,10 @@
  * @param longestHoldMilliseconds longest lease that a backend server grants to what runs on it
  * @param gangWaitMilliseconds time after which a member of a gang that is alone ends by itself
  * @param stopMilliseconds longest time that a backend server takes to stop a task
+ * @param statusMilliseconds time for which the state of a job that has ended is told at least
  */
-public record WorkloadTimings(long longestHoldMilliseconds, long gangWaitMilliseconds, long stopMilliseconds) {
+public record WorkloadTimings(
+        long longestHoldMilliseconds, long gangWaitMilliseconds, long stopMilliseconds, long statusMilliseconds) {
     /** An agent renews leases only this long after its placer last answered it. */
     public static final long CONTACT_MILLISECONDS = 2_000;
 
@@ -23,6 +25,14 @@
     /** Margin for timers that fire late. */
     private static final long TIMER_SLACK_MILLISECONDS = 200;
 
+    /**
+     * Time after which a job that has ended is forgotten: twice the time for which its state is told, so that repeated
+     * submissions, which come seconds later, always find it.
+     */
+    public long retentionMilliseconds() {
+        return 2 * statusMilliseconds;
+    }
+
     /** Time after the last message of an agent at which everything on its backend server has surely ended. */
     public long lostAfterMilliseconds() {
         return CONTACT_MILLISECONDS
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreedRoom.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreedRoom.java
@@ -18,17 +18,18 @@
  * @param latest the room is given up at this time in any case, in milliseconds
  */
 record FreedRoom(Map<String, Resources> room, Set<Run> victims, long until, long latest) {
-    /** A stop, its report and the delay of both take this long at most when nothing is disturbed. */
-    private static final long USUAL_MILLISECONDS = 1_200;
+    /** The order of a stop and its report take this long at most when nothing is disturbed. */
+    private static final long USUAL_MILLISECONDS = 1_000;
 
     /** A stop that has to be repeated takes longer; the reclaim of a guarantee allows for little more than this. */
-    private static final long LONGEST_MILLISECONDS = 2_200;
+    private static final long LONGEST_MILLISECONDS = 2_000;
 
     static final FreedRoom NONE = new FreedRoom(Map.of(), Set.of(), 0, 0);
 
     /** Room for which the runs of a plan are being stopped since now. */
-    static FreedRoom of(Preemption.Plan plan, long now) {
-        return new FreedRoom(plan.room(), plan.victims(), now + USUAL_MILLISECONDS, now + LONGEST_MILLISECONDS);
+    static FreedRoom of(Preemption.Plan plan, long stopMilliseconds, long now) {
+        long stopped = now + stopMilliseconds;
+        return new FreedRoom(plan.room(), plan.victims(), stopped + USUAL_MILLISECONDS, stopped + LONGEST_MILLISECONDS);
     }
 
     /** Whether the room is still kept for the step. */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobState.java
@@ -28,6 +28,9 @@
     /** When this placer learned of the job, in milliseconds; negative for one that a former placer had progressed. */
     long acceptedAt = -1;
 
+    /** When this placer learned that the job had ended, in milliseconds. */
+    long endedAt;
+
     JobPhase phase = JobPhase.QUEUED;
     boolean cancelRequested;
 
@@ -111,6 +114,7 @@
     JobRecord toRecord() {
         return new JobRecord(
                 phase,
+                specification.team(),
                 steps.stream()
                         .filter(StepState::started)
                         .map(StepState::toRecord)
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -37,6 +37,7 @@
     private final WorkloadConfiguration configuration;
     private final Entitlements entitlements;
     private final Actions actions;
+    private final long stopMilliseconds;
     private final long now;
     private final long wall;
     private final Room room;
@@ -60,6 +61,7 @@
             WorkloadConfiguration configuration,
             UrgentReserve reserve,
             Actions actions,
+            long stopMilliseconds,
             long now,
             long wall) {
         this.jobs = jobs;
@@ -67,6 +69,7 @@
         this.configuration = configuration;
         this.entitlements = new Entitlements(jobs, configuration);
         this.actions = actions;
+        this.stopMilliseconds = stopMilliseconds;
         this.now = now;
         this.wall = wall;
         this.room = new Room(servers, now);
@@ -199,7 +202,7 @@
                     .filter(plan -> isWorthIt(candidate, step, plan))
                     .ifPresent(plan -> {
                         plan.victims().forEach(run -> actions.preempt(run, candidate.job()));
-                        step.freed = FreedRoom.of(plan, now);
+                        step.freed = FreedRoom.of(plan, stopMilliseconds, now);
                     });
         }
         step.freed.reserve(room, servers);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacerEffects.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacerEffects.java
@@ -26,6 +26,12 @@
      */
     void advise(String step, List<String> servers, long limitMilliseconds);
 
+    /**
+     * Removes everything that is stored of the jobs, under the condition that this placer is still the elected one.
+     * Exactly one of {@link WorkPlacer#removed} or {@link WorkPlacer#removeFailed} follows.
+     */
+    void remove(List<String> jobs);
+
     /** Publishes the number of waiting jobs by queue; may be lost. */
     void publishPending(Map<String, Integer> pending);
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Restoration.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Restoration.java
@@ -20,6 +20,7 @@
     void restore(JobState job, WorkPlacer.StoredRecord stored, long now) {
         job.phase = stored.record().phase();
         job.recordRevision = stored.revision();
+        job.endedAt = now;
         for (StepRecord stepRecord : stored.record().steps()) {
             job.step(stepRecord.occurrence(), stepRecord.step())
                     .filter(step -> step.tasks.size() == stepRecord.tasks().size())
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
@@ -145,6 +145,7 @@
 
     void finish(JobState job, JobPhase phase, long now) {
         job.phase = phase;
+        job.endedAt = now;
         LOGGER.info("job {} is {}", job.id(), phase);
         measure(phase == JobPhase.COMPLETED ? "completion" : "end", job, now);
         writes.changed(job);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -1,5 +1,6 @@
 package org.teaselwood.workload.placer;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,9 +58,13 @@
     private final RunSupervision supervision;
     private final Reconciliation reconciliation;
     private final Pacing pacing;
+    private final Retention retention;
     private final AdviceRequests advice;
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
     private final Map<String, ServerState> servers = new TreeMap<>();
+    /** The life that reported last on each VM; most reports are of these. */
+    private final Map<String, ServerState> newestLives = new HashMap<>();
+
     private final UrgentReserve reserve = new UrgentReserve();
     private WorkloadConfiguration configuration;
     private long pendingPublishedAt;
@@ -81,6 +86,7 @@
         this.supervision = new RunSupervision(servers, runs, timings);
         this.reconciliation = new Reconciliation(jobs, runs);
         this.pacing = new Pacing(term);
+        this.retention = new Retention(jobs, timings, effects);
         this.advice = new AdviceRequests(effects);
     }
 
@@ -246,6 +252,16 @@
         runs.markChanged();
     }
 
+    /** The jobs of the last removal are no longer stored. */
+    public void removed() {
+        retention.removed();
+    }
+
+    /** Whether the last removal took effect is not known. */
+    public void removeFailed() {
+        retention.failed();
+    }
+
     /** The advice service has not answered. */
     public void adviceFailed(String step, long now) {
         advice.failed(step, now);
@@ -299,6 +315,7 @@
                 .toList()
                 .forEach(server -> loseServer(server, "its agent is silent", now));
         supervision.check(now);
+        retention.check(now);
     }
 
     private void pass(long now) {
@@ -313,6 +330,7 @@
                         configuration,
                         reserve,
                         new PassActions(now),
+                        timings.stopMilliseconds(),
                         now,
                         effects.wallMilliseconds())
                 .run();
@@ -355,6 +373,10 @@
         String id = report.description().server();
         String host = report.description().host();
         long start = report.description().start();
+        ServerState newest = newestLives.get(host);
+        if (newest != null && newest.id.equals(id) && newest.start == start && servers.get(id) == newest) {
+            return Optional.of(newest);
+        }
         List<ServerState> lives = servers.values().stream()
                 .filter(server -> server.id.equals(id) || server.host.equals(host))
                 .toList();
@@ -364,19 +386,22 @@
         lives.stream()
                 .filter(server -> server.start < start)
                 .forEach(server -> loseServer(server, "its VM runs a newer life", now));
-        return Optional.of(servers.computeIfAbsent(id, key -> {
+        ServerState life = servers.computeIfAbsent(id, key -> {
             LOGGER.info(
                     "backend server {} joined on {}, service {}",
                     id,
                     host,
                     report.description().service());
             return new ServerState(id, start, host, now);
-        }));
+        });
+        newestLives.put(host, life);
+        return Optional.of(life);
     }
 
     private void loseServer(ServerState server, String reason, long now) {
         LOGGER.info("backend server {} is gone with {} runs: {}", server.id, server.runs.size(), reason);
         servers.remove(server.id);
+        newestLives.remove(server.host, server);
         List.copyOf(server.runs.values()).forEach(run -> runs.remove(run, now));
         runs.markChanged();
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -79,6 +79,7 @@
         }
         return new JsonObject()
                 .put("phase", job.phase().name())
+                .put("team", job.team())
                 .put("steps", steps)
                 .toBuffer()
                 .getBytes();
@@ -90,6 +91,7 @@
                 value,
                 json -> new JobRecord(
                         JobPhase.valueOf(json.getString("phase")),
+                        json.getString("team"),
                         objects(json.getJsonArray("steps"))
                                 .map(WorkloadJson::stepRecord)
                                 .toList()));
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/WorkAgentTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/WorkAgentTest.java
@@ -26,7 +26,7 @@
     private final List<WorkMessage> sent = new ArrayList<>();
     private volatile long now = 100_000;
     private final WorkAgent agent =
-            new WorkAgent(vertx, () -> now, new ImmediateCalls(), new WorkloadTimings(6_000, 3_000, 200));
+            new WorkAgent(vertx, () -> now, new ImmediateCalls(), new WorkloadTimings(6_000, 3_000, 200, 20_000));
 
     private final class ImmediateCalls implements BackendServerCalls {
         @Override
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -22,7 +22,7 @@
  */
 final class PlacerScenario implements PlacerEffects {
     static final Resources SERVER = new Resources(32_000, 131_072, 8);
-    static final WorkloadTimings TIMINGS = new WorkloadTimings(6_000, 3_000, 200);
+    static final WorkloadTimings TIMINGS = new WorkloadTimings(6_000, 3_000, 200, 20_000);
     private static final long STEP_MILLISECONDS = 10;
 
     final Map<String, FakeServer> servers = new TreeMap<>();
@@ -211,6 +211,20 @@
         });
     }
 
+    @Override
+    public void remove(List<String> jobs) {
+        WorkPlacer remover = placer;
+        due.add(() -> {
+            if (storeAnswers) {
+                jobs.forEach(store::remove);
+                jobs.forEach(accepted::remove);
+                remover.removed();
+            } else {
+                remover.removeFailed();
+            }
+        });
+    }
+
     @Override
     public void publishPending(Map<String, Integer> counts) {
         pending = counts;
