Stop the rest of a gang that a former placer had lost a member of

Cause: a placer that loses a member of a gang stops the others; one on a server that it cannot reach stays. Its successor found one member running and the other waiting and did nothing, so that the gang held its room until the executor ended it. Found by PlacerFaultsTest, whose oracle now also checks that an acknowledged success is stored and that no gang is split for longer than the gang wait while nothing is disturbed, and whose faults now include late reports of old connections and restarts of agents; it plays 60 seeds instead of 20. Test: AgentReportsTest, fails before.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunSupervision.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunSupervision.java
@@ -36,15 +36,21 @@
         moveStalledRuns(now);
     }
 
-    /** A lone member ends by itself after the gang wait, so an incomplete gang is stopped before. */
+    /**
+     * A lone member ends by itself after the gang wait, so an incomplete gang is stopped before. A gang of which a
+     * former placer had lost a member, and could not stop the others, is stopped at once.
+     */
     private void breakIncompleteGangs(long now) {
         long limit = timings.gangWaitMilliseconds() / 2;
         servers.values().stream()
                 .flatMap(server -> server.runs.values().stream())
-                .filter(run -> run.step.gang() && run.state == RunState.ORDERED && now - run.createdAt > limit)
+                .filter(run -> run.step.gang() && run.state != RunState.STOPPING)
+                .filter(run -> run.state == RunState.ORDERED && now - run.createdAt > limit
+                        || run.step.tasks.stream().anyMatch(TaskState::waits))
                 .toList()
                 .forEach(run -> {
-                    LOGGER.info("gang of task {} is incomplete after {} ms", run.task.name, limit);
+                    LOGGER.info(
+                            "gang of task {} is incomplete {} ms after its start", run.task.name, now - run.createdAt);
                     runs.stop(run, now);
                 });
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
@@ -43,6 +43,27 @@
         assertThat(server.running).hasSize(1);
     }
 
+    @Test
+    void a_successor_stops_the_members_of_a_gang_that_lost_another_before() {
+        FakeServer first = scenario.server("s1", "r1");
+        FakeServer second = scenario.server("s2", "r1");
+        scenario.work.put("job.0.0.0", 60_000L);
+        scenario.work.put("job.0.0.1", 60_000L);
+        scenario.submit("job", "normal", PlacerScenario.gang(2, 8));
+        scenario.run(1_000);
+        second.connected = false;
+        second.dropConnection(scenario.placer);
+        first.lapse();
+        scenario.run(1_000);
+        scenario.elect();
+        scenario.run(300);
+        second.connected = true;
+        scenario.connect(second);
+        scenario.run(1_000);
+        assertThat(first.running.keySet()).containsExactly("job.0.0.0#2");
+        assertThat(second.running.keySet()).containsExactly("job.0.0.1#2");
+    }
+
     @Test
     void a_run_that_a_restarted_agent_does_not_find_is_placed_again() {
         FakeServer server = scenario.server("s1", "r1");
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -78,6 +78,8 @@
     /** The newest report that was sent. */
     WorkMessage.ServerReport lastReport;
 
+    private AgentConnection oldConnection;
+    private WorkMessage.ServerReport oldReport;
     private long connections;
     AgentConnection connection;
     private long nextReport;
@@ -106,8 +108,22 @@
         this.workMilliseconds = workMilliseconds;
     }
 
+    /** Hands the placer what an old connection still held, twice. */
+    void deliverLate(WorkPlacer placer, long at) {
+        if (oldConnection != null && connected) {
+            placer.report(oldConnection, oldReport, at);
+            placer.report(oldConnection, oldReport, at);
+        }
+    }
+
     /** Connects to a placer and reports at once. */
     void connect(long newTerm) {
+        if (connection != null && lastReport != null && term == newTerm) {
+            oldConnection = connection;
+            oldReport = lastReport;
+        } else {
+            oldConnection = null;
+        }
         term = newTerm;
         nextReport = 0;
         long number = ++connections;
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
@@ -8,17 +8,25 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.teaselwood.protocol.message.WorkMessage;
 import org.teaselwood.protocol.message.WorkMessage.EndKind;
+import org.teaselwood.workload.model.TaskName;
 import org.teaselwood.workload.model.WorkloadTimings;
+import org.teaselwood.workload.record.JobPhase;
+import org.teaselwood.workload.record.JobRecord;
+import org.teaselwood.workload.record.WorkloadJson;
 
 /**
  * Random jobs under random faults in virtual time, against a simple oracle: no task runs twice at once or after a
- * stored success, no server is overloaded, no gang is split for long, and every job ends once the faults have ended.
+ * stored success, no success is acknowledged before it is stored, no server is overloaded, no gang is split for long,
+ * and every job ends once the faults have ended.
  */
 final class PlacerFaultsTest {
+    private static final int SEEDS = 60;
     private static final int STEPS = 300;
     private static final long SLICE_MILLISECONDS = 100;
     private static final int SERVERS = 6;
@@ -29,11 +37,12 @@
     private final PlacerScenario scenario = new PlacerScenario();
     private final Map<String, Long> silentSince = new HashMap<>();
     private final Set<String> succeeded = new HashSet<>();
+    private final Map<String, Long> splitSince = new HashMap<>();
     private final Map<String, Integer> startsSeen = new HashMap<>();
     private int lives;
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    @MethodSource("seeds")
     void promises_hold_under_random_faults(long seed) {
         Random random = new Random(seed);
         for (int index = 0; index < SERVERS; index++) {
@@ -56,6 +65,10 @@
         assertWithMessage("seed %s", seed).that(scenario.runningTasks()).isEqualTo(0);
     }
 
+    private static LongStream seeds() {
+        return LongStream.rangeClosed(1, SEEDS);
+    }
+
     private void act(Random random, int step) {
         List<String> alive = scenario.servers.keySet().stream().toList();
         String server = alive.get(random.nextInt(alive.size()));
@@ -74,6 +87,13 @@
                         .ifPresent(job -> scenario.placer.jobCancelled(job, scenario.now));
             case 13 -> scenario.servers.get(server).endKind = random.nextBoolean() ? EndKind.FAILED : EndKind.DONE;
             case 14 -> electWithoutStore();
+            case 15 -> scenario.servers.get(server).deliverLate(scenario.placer, scenario.now);
+            case 16 -> restartAgent(server);
+            case 17 -> {
+                // The connection breaks and is opened again at once; what it still held comes late.
+                scenario.connect(scenario.servers.get(server));
+                scenario.servers.get(server).deliverLate(scenario.placer, scenario.now);
+            }
             default -> scenario.servers.get(server).answersOrders = random.nextInt(4) > 0;
         }
         scenario.servers.values().forEach(present -> present.hangs = false);
@@ -113,6 +133,15 @@
                 PlacerScenario.step(1, 1, false, false, List.of(0)));
     }
 
+    private void restartAgent(String server) {
+        FakeServer present = scenario.servers.get(server);
+        if (present.connected) {
+            present.dropConnection(scenario.placer);
+            present.restartAgent();
+            scenario.connect(present);
+        }
+    }
+
     private void disconnect(String server) {
         if (silentSince.putIfAbsent(server, scenario.now) == null) {
             FakeServer present = scenario.servers.get(server);
@@ -168,7 +197,51 @@
         running.forEach((task, count) -> assertWithMessage("seed %s, runs of %s at %s", seed, task, scenario.now)
                 .that(count)
                 .isEqualTo(1));
-        scenario.servers.values().forEach(server -> succeeded.addAll(server.acknowledgedSuccesses));
+        scenario.servers.values().stream()
+                .flatMap(server -> server.acknowledgedSuccesses.stream())
+                .filter(succeeded::add)
+                .forEach(task -> checkStored(seed, task));
+        checkGangs(seed, running.keySet());
+    }
+
+    private void checkStored(long seed, String task) {
+        TaskName name = TaskName.parse(task).orElseThrow();
+        PlacerScenario.StoredValue value = scenario.store.get(name.job());
+        assertWithMessage("seed %s, acknowledged end of %s", seed, task)
+                .that(value)
+                .isNotNull();
+        JobRecord record = WorkloadJson.decodeRecord(value.value());
+        // What a cancelled or failed job had done is of no use to anyone.
+        boolean givenUp = record.phase() == JobPhase.CANCELLED || record.phase() == JobPhase.FAILED;
+        boolean stored = record.steps().stream()
+                .filter(step -> step.occurrence() == name.occurrence() && step.step() == name.step())
+                .anyMatch(step -> step.tasks().get(name.index()).done());
+        assertWithMessage("seed %s, acknowledged end of %s is stored", seed, task)
+                .that(givenUp || stored)
+                .isTrue();
+    }
+
+    /** A gang of which only some members run makes no progress; while nothing is disturbed that must end soon. */
+    private void checkGangs(long seed, Set<String> running) {
+        boolean disturbed = !silentSince.isEmpty()
+                || !scenario.storeAnswers
+                || scenario.servers.values().stream().anyMatch(server -> !server.answersOrders);
+        scenario.accepted.values().stream()
+                .filter(job -> job.steps().getFirst().gang())
+                .forEach(job -> {
+                    int members = job.steps().getFirst().count();
+                    long present = IntStream.range(0, members)
+                            .filter(index -> running.contains(job.id() + ".0.0." + index))
+                            .count();
+                    if (disturbed || present == 0 || present == members) {
+                        splitSince.remove(job.id());
+                        return;
+                    }
+                    long since = splitSince.computeIfAbsent(job.id(), key -> scenario.now);
+                    assertWithMessage("seed %s, time for which gang %s is split", seed, job.id())
+                            .that(scenario.now - since)
+                            .isAtMost(PlacerScenario.TIMINGS.gangWaitMilliseconds());
+                });
     }
 
     private void checkStarts(long seed, FakeServer server) {
