--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunSupervision.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunSupervision.java
@@ -12,14 +12,8 @@
 final class RunSupervision {
     private static final Logger LOGGER = LoggerFactory.getLogger(RunSupervision.class);
 
-    /**
-     * A task may stand still at least this long: its server lists progress once a second, in whole percents, and the
-     * agent reports twice a second.
-     */
-    private static final long SHORTEST_STALL_MILLISECONDS = 2_500;
-
-    /** A task that stands still this long is moved, whatever it has done. */
-    private static final long LONGEST_STALL_MILLISECONDS = 4_000;
+    /** A task whose progress stands still this long is moved; progress is reported in whole percents. */
+    private static final long STALL_MILLISECONDS = 4_000;
 
     private static final int COMPLETE_PERCENT = 100;
 
@@ -72,7 +66,7 @@
                         && !run.step.specification.longRunning()
                         && run.percent < COMPLETE_PERCENT
                         && run.pace >= SLOW_PERCENT
-                        && now - run.progressAt > stallLimit(run)
+                        && now - run.progressAt > STALL_MILLISECONDS
                         && now - run.server.heardAt < WorkloadTimings.SUSPECT_MILLISECONDS)
                 .filter(run -> !run.step.gang() || isLastOfGang(run))
                 .toList()
@@ -89,15 +83,6 @@
                 });
     }
 
-    /**
-     * A task that stands still may go on by itself, and moving it costs the work that it has not saved. Waiting as long
-     * as that work took costs at most twice the better choice.
-     */
-    private static long stallLimit(Run run) {
-        long unsaved = run.step.specification.checkpointing() ? 0 : run.progressAt - run.startedAt;
-        return Math.clamp(unsaved, SHORTEST_STALL_MILLISECONDS, LONGEST_STALL_MILLISECONDS);
-    }
-
     private static boolean isLastOfGang(Run run) {
         return run.step.tasks.stream()
                 .filter(member -> member.run != null)
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -64,9 +64,6 @@
     /** Runs that make no progress. */
     boolean hangs;
 
-    /** Runs keep the progress that they have and go on later. */
-    boolean standsStill;
-
     /** Finished work stays at 100 percent until it is released, as a gang's does that waits for another member. */
     boolean endsWhenReleased;
 
@@ -147,10 +144,6 @@
 
     /** Advances to a time and hands what the agent sends to the placer. */
     void advance(long newNow, WorkPlacer placer) {
-        if (standsStill) {
-            long pause = newNow - now;
-            running.replaceAll((key, since) -> since + pause);
-        }
         now = newNow;
         stopping.entrySet().stream()
                 .filter(run -> run.getValue() <= now)
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -235,32 +235,6 @@
         assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
     }
 
-    @Test
-    void a_run_that_has_done_nothing_yet_is_moved_sooner_than_one_that_would_lose_much() {
-        FakeServer hanging = scenario.server("s1", "r1");
-        hanging.hangs = true;
-        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
-        scenario.run(500);
-        scenario.server("s2", "r1");
-        scenario.run(2_900);
-        assertThat(scenario.servers.get("s2").running).hasSize(1);
-    }
-
-    @Test
-    void a_run_that_would_lose_much_may_stand_still_longer() {
-        FakeServer hanging = scenario.server("s1", "r1");
-        scenario.work.put("job.0.0.0", 20_000L);
-        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
-        scenario.run(10_000);
-        scenario.server("s2", "r1");
-        hanging.standsStill = true;
-        scenario.run(3_500);
-        hanging.standsStill = false;
-        scenario.run(12_000);
-        assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
-        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
-    }
-
     @Test
     void members_of_a_gang_that_wait_for_the_slowest_are_not_taken_for_standing_still() {
         FakeServer fast = scenario.server("s1", "r1");
