Let the fault test delay writes, and check gangs whenever their own servers are calm

An end that was acknowledged before it was stored went unfound, because every write took effect at once; writes now take up to 300 ms in a part of the steps. Gangs were judged only while no server at all was silent. Two unit tests cover planted faults that stayed unfound: a stray run that is not stopped, and an older attempt whose success does not stop the newer.

--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.workload.record.JobPhase;
 
 /** Reports that arrive late or say less than they seem to, after the connection of an agent was lost. */
 final class AgentReportsTest {
@@ -64,6 +65,36 @@
         assertThat(second.running.keySet()).containsExactly("job.0.0.1#2");
     }
 
+    @Test
+    void a_run_that_is_not_on_record_is_stopped() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.run(600);
+        server.running.put("job.0.0.0#5", scenario.now);
+        scenario.run(900);
+        assertThat(server.stopped).containsExactly("job.0.0.0");
+        assertThat(server.running).isEmpty();
+    }
+
+    @Test
+    void a_success_of_an_attempt_that_was_given_up_stops_the_attempt_that_replaced_it() {
+        FakeServer silent = scenario.server("s1", "r1");
+        scenario.work.put("job.0.0.0", 3_000L);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(1_000);
+        FakeServer other = scenario.server("s2", "r1");
+        silent.connected = false;
+        silent.dropConnection(scenario.placer);
+        scenario.run(2_100);
+        scenario.work.put("job.0.0.0", 60_000L);
+        scenario.run(8_000);
+        assertThat(other.running.keySet()).containsExactly("job.0.0.0#2");
+        silent.connected = true;
+        scenario.connect(silent);
+        scenario.run(1_000);
+        assertThat(other.running).isEmpty();
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+    }
+
     @Test
     void a_run_that_a_restarted_agent_does_not_find_is_placed_again() {
         FakeServer server = scenario.server("s1", "r1");
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
@@ -87,6 +87,7 @@
                         .ifPresent(job -> scenario.placer.jobCancelled(job, scenario.now));
             case 13 -> scenario.servers.get(server).endKind = random.nextBoolean() ? EndKind.FAILED : EndKind.DONE;
             case 14 -> electWithoutStore();
+            case 6 -> scenario.writeMilliseconds = random.nextInt(300);
             case 15 -> scenario.servers.get(server).deliverLate(scenario.placer, scenario.now);
             case 16 -> restartAgent(server);
             case 17 -> {
@@ -221,11 +222,16 @@
                 .isTrue();
     }
 
+    /** Whether a member of the gang runs where orders do not arrive or are not answered. */
+    private boolean isDisturbed(String job) {
+        return scenario.servers.entrySet().stream()
+                .filter(server ->
+                        server.getValue().running.keySet().stream().anyMatch(key -> key.startsWith(job + ".0.0.")))
+                .anyMatch(server -> silentSince.containsKey(server.getKey()) || !server.getValue().answersOrders);
+    }
+
     /** A gang of which only some members run makes no progress; while nothing is disturbed that must end soon. */
     private void checkGangs(long seed, Set<String> running) {
-        boolean disturbed = !silentSince.isEmpty()
-                || !scenario.storeAnswers
-                || scenario.servers.values().stream().anyMatch(server -> !server.answersOrders);
         scenario.accepted.values().stream()
                 .filter(job -> job.steps().getFirst().gang())
                 .forEach(job -> {
@@ -233,7 +239,7 @@
                     long present = IntStream.range(0, members)
                             .filter(index -> running.contains(job.id() + ".0.0." + index))
                             .count();
-                    if (disturbed || present == 0 || present == members) {
+                    if (present == 0 || present == members || !scenario.storeAnswers || isDisturbed(job.id())) {
                         splitSince.remove(job.id());
                         return;
                     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -41,6 +41,9 @@
     /** Whether the advice service answers. */
     boolean adviceAnswers = true;
 
+    /** Time that a write of records takes. */
+    long writeMilliseconds;
+
     /** Whether writes reach the store. */
     boolean storeAnswers = true;
 
@@ -48,7 +51,7 @@
     long now = 1_000;
     private long term;
     private long revision = 100;
-    private final List<Runnable> due = new ArrayList<>();
+    private final List<Due> due = new ArrayList<>();
     private WorkloadConfiguration configuration = new WorkloadConfiguration(
             1,
             Map.of(
@@ -57,6 +60,9 @@
                     "batch", new QueueSettings("batch", "service", 2, 3, 3, 3_000, Optional.empty())),
             Map.of("team", 16));
 
+    /** What happens at a time, such as the effect and the answer of a write. Immutable. */
+    private record Due(long at, Runnable action) {}
+
     /** A stored record. Immutable. */
     record StoredValue(byte[] value, long revision) {}
 
@@ -117,9 +123,10 @@
         long until = now + milliseconds;
         while (now < until) {
             now += STEP_MILLISECONDS;
-            List<Runnable> actions = List.copyOf(due);
-            due.clear();
-            actions.forEach(Runnable::run);
+            List<Due> actions =
+                    due.stream().filter(action -> action.at() <= now).toList();
+            due.removeAll(actions);
+            actions.forEach(action -> action.action().run());
             servers.values().forEach(server -> server.advance(now, placer));
             placer.advance(now);
         }
@@ -171,7 +178,7 @@
     @Override
     public void write(List<RecordWrite> writes) {
         WorkPlacer writer = placer;
-        due.add(() -> {
+        due.add(new Due(now + writeMilliseconds, () -> {
             if (!storeAnswers) {
                 writer.writeFailed(now);
                 return;
@@ -186,7 +193,7 @@
             revision++;
             writes.forEach(write -> store.put(write.job(), new StoredValue(write.value(), revision)));
             writer.written(revision);
-        });
+        }));
     }
 
     private long revisionOf(String job) {
@@ -197,7 +204,7 @@
     public void advise(String step, List<String> asked, long limitMilliseconds) {
         WorkPlacer asking = placer;
         advised.add(step);
-        due.add(() -> {
+        due.add(new Due(now, () -> {
             if (adviceAnswers) {
                 asking.advised(
                         step,
@@ -208,13 +215,13 @@
             } else {
                 asking.adviceFailed(step, now);
             }
-        });
+        }));
     }
 
     @Override
     public void remove(List<String> jobs) {
         WorkPlacer remover = placer;
-        due.add(() -> {
+        due.add(new Due(now, () -> {
             if (storeAnswers) {
                 jobs.forEach(store::remove);
                 jobs.forEach(accepted::remove);
@@ -222,7 +229,7 @@
             } else {
                 remover.removeFailed();
             }
-        });
+        }));
     }
 
     @Override
