Stop answering agents when the election may long have ended

Cause, found in review: a placer that the store turns away goes on answering the agents that still reach it. An agent that the store turns away as well then renews the leases of its runs without end, while another entry is elected, gives the silent agent up after 8.3 s and starts its tasks again.

Change: a placer answers agents at most 2.5 s beyond the lease of its last renewal, so that work outlasts an outage of 4.5 s as before. A successor waits 2.5 s longer for servers whose agents have not reported to it.

Ruled out: stepping down with the lease; each outage of the store would then cost a takeover. Tests: PlacerDutyTest, fails without the guard; WorkPlacerTest.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -47,6 +47,9 @@
     private long advancedAt;
     private WorkPlacer placer;
 
+    /** Agents are answered until this time; a successor relies on it. Set on the election's event loop. */
+    private volatile long answersUntil = Long.MIN_VALUE;
+
     PlacerDuty(
             KeyValueService store,
             AdviceService advice,
@@ -65,6 +68,13 @@
         thread = newThread;
     }
 
+    /** The lease of the election was renewed by a call that was sent at this time. */
+    void renewed(long sentAtMilliseconds) {
+        answersUntil = sentAtMilliseconds
+                + WorkloadTimings.ELECTION_LEASE_MILLISECONDS
+                + WorkloadTimings.UNRENEWED_MILLISECONDS;
+    }
+
     void offer(PlacerEvent event) {
         if (!thread.offer(event)) {
             LOGGER.error(
@@ -288,6 +298,10 @@
     }
 
     private void received(WorkPlacer running, PlacerEvent.Received received, long now) {
+        if (now > answersUntil) {
+            LOGGER.debug("does not answer an agent, because the election may have ended");
+            return;
+        }
         AgentConnection connection = received.connection();
         switch (received.message()) {
             case WorkMessage.ServerReport report -> running.report(connection, report, now);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
@@ -14,6 +14,7 @@
 import org.teaselwood.store.KeyValueTransaction;
 import org.teaselwood.workload.agent.PlacerLink;
 import org.teaselwood.workload.agent.PlacerLocation;
+import org.teaselwood.workload.model.WorkloadTimings;
 import org.teaselwood.workload.record.WorkloadKeys;
 
 /**
@@ -26,8 +27,7 @@
 public final class TermElection {
     private static final Logger LOGGER = LoggerFactory.getLogger(TermElection.class);
 
-    /** The key-value service counts leases in whole seconds; two of them bear one lost renewal. */
-    private static final long LEASE_SECONDS = 2;
+    private static final long LEASE_SECONDS = WorkloadTimings.ELECTION_LEASE_MILLISECONDS / 1_000;
 
     private static final long RENEW_MILLISECONDS = 500;
     private static final long RETRY_MILLISECONDS = 200;
@@ -62,6 +62,9 @@
         /** This entry is the placer of a term. */
         void elected(long term);
 
+        /** The lease of the election was granted or renewed by a call that was sent at this time. */
+        void renewed(long sentAtMilliseconds);
+
         /** This entry is not the placer any more. */
         void deposed();
     }
@@ -199,6 +202,7 @@
 
     private void campaign(long expectedRevision) {
         busy = true;
+        long sentAt = clock.nowMilliseconds();
         byte[] value = new JsonObject()
                 .put("entry", candidate.entry())
                 .put("host", candidate.host())
@@ -215,7 +219,7 @@
                         result -> {
                             busy = false;
                             if (result.applied()) {
-                                elect(result.revision());
+                                elect(result.revision(), sentAt);
                             }
                         },
                         failure -> {
@@ -226,7 +230,7 @@
                         });
     }
 
-    private void elect(long newTerm) {
+    private void elect(long newTerm, long sentAt) {
         if (stopped) {
             return;
         }
@@ -234,18 +238,21 @@
         term = newTerm;
         nextActionAt = clock.nowMilliseconds() + RENEW_MILLISECONDS;
         LOGGER.info("elected placer of term {}", newTerm);
+        listener.renewed(sentAt);
         listener.elected(newTerm);
     }
 
     private void renew() {
         busy = true;
         long renewedTerm = term;
+        long sentAt = clock.nowMilliseconds();
         store.renewLease(lease)
                 .subscribe()
                 .with(
                         ignored -> {
                             busy = false;
                             nextActionAt = clock.nowMilliseconds() + RENEW_MILLISECONDS;
+                            listener.renewed(sentAt);
                         },
                         failure -> {
                             busy = false;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
@@ -62,6 +62,11 @@
                 duty.offer(new PlacerEvent.Elected(term));
             }
 
+            @Override
+            public void renewed(long sentAtMilliseconds) {
+                duty.renewed(sentAtMilliseconds);
+            }
+
             @Override
             public void deposed() {
                 duty.offer(new PlacerEvent.Deposed());
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadTimings.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadTimings.java
@@ -13,6 +13,15 @@
     /** An agent renews leases only this long after its placer last answered it. */
     public static final long CONTACT_MILLISECONDS = 2_000;
 
+    /** Lease of an election: short, because a lost placer's work waits for it, and four renewals long. */
+    public static final long ELECTION_LEASE_MILLISECONDS = 2_000;
+
+    /**
+     * A placer that cannot renew its election goes on answering agents this long after its lease may have ended, so
+     * that what runs outlasts the usual outage of the store. Its successor waits as much longer for silent agents.
+     */
+    public static final long UNRENEWED_MILLISECONDS = 2_500;
+
     /** Time between two reports of an agent, and so the granularity at which silence is noticed. */
     public static final long REPORT_MILLISECONDS = 500;
 
@@ -33,6 +42,14 @@
         return 2 * statusMilliseconds;
     }
 
+    /**
+     * Time after an election at which everything has surely ended on a backend server whose agent has not reported to
+     * the new placer; until then the former placer may have answered the agent.
+     */
+    public long lostAfterElectionMilliseconds() {
+        return UNRENEWED_MILLISECONDS + lostAfterMilliseconds();
+    }
+
     /** Time after the last message of an agent at which everything on its backend server has surely ended. */
     public long lostAfterMilliseconds() {
         return CONTACT_MILLISECONDS
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
@@ -60,6 +60,11 @@
         this.heardAt = now;
     }
 
+    /** Whether its agent has reported to this placer; otherwise it is known from records only. */
+    boolean hasReported() {
+        return description != null;
+    }
+
     Resources capacity() {
         return new Resources(description.milliCores(), description.memoryMebibytes(), description.accelerators());
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -311,7 +311,10 @@
 
     private void check(long now) {
         servers.values().stream()
-                .filter(server -> now - server.heardAt > timings.lostAfterMilliseconds())
+                .filter(server -> now - server.heardAt
+                        > (server.hasReported()
+                                ? timings.lostAfterMilliseconds()
+                                : timings.lostAfterElectionMilliseconds()))
                 .toList()
                 .forEach(server -> loseServer(server, "its agent is silent", now));
         supervision.check(now);
--- /dev/null
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/entry/PlacerDutyTest.java
@@ -0,0 +1,134 @@
+package org.teaselwood.workload.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.protocol.DutyThread;
+import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.store.KeyValue;
+import org.teaselwood.store.KeyValueService;
+import org.teaselwood.store.KeyValueTransaction;
+import org.teaselwood.store.TransactionResult;
+import org.teaselwood.workload.model.WorkloadConfiguration;
+import org.teaselwood.workload.model.WorkloadTimings;
+import org.teaselwood.workload.placer.AgentConnection;
+
+/** A placer that cannot renew its election stops answering agents in time for its successor. */
+final class PlacerDutyTest {
+    private static final long TERM = 5;
+    private static final long WAIT_MILLISECONDS = 200;
+    private static final int MAXIMUM_TRIES = 50;
+
+    private final LinkedBlockingQueue<WorkMessage> answers = new LinkedBlockingQueue<>();
+    private final PlacerDuty duty = new PlacerDuty(
+            new EmptyStore(),
+            AdviceService.absent(),
+            new WorkloadTimings(6_000, 3_000, 200, 120_000),
+            (name, team, queue, milliseconds) -> {},
+            term -> {});
+    private volatile long now = 100_000;
+    private final DutyThread<PlacerEvent> thread = new DutyThread<>("placer", 64, 10, () -> now, duty);
+    private final AgentConnection connection = new AgentConnection() {
+        @Override
+        public long number() {
+            return 1;
+        }
+
+        @Override
+        public void send(WorkMessage message) {
+            answers.add(message);
+        }
+    };
+
+    private static final class EmptyStore implements KeyValueService {
+        @Override
+        public Uni<Optional<KeyValue>> get(String key) {
+            return Uni.createFrom().item(Optional.empty());
+        }
+
+        @Override
+        public Uni<List<KeyValue>> list(String prefix) {
+            return Uni.createFrom().item(List.of());
+        }
+
+        @Override
+        public Uni<TransactionResult> transact(KeyValueTransaction transaction) {
+            return Uni.createFrom().failure(new IllegalStateException("the store does not answer"));
+        }
+
+        @Override
+        public Uni<Long> grantLease(long seconds) {
+            return Uni.createFrom().item(1L);
+        }
+
+        @Override
+        public Uni<Void> renewLease(long lease) {
+            return Uni.createFrom().voidItem();
+        }
+
+        @Override
+        public AutoCloseable watch(String prefix, WatchListener listener) {
+            return () -> {};
+        }
+
+        @Override
+        public void close() {}
+    }
+
+    @BeforeEach
+    void elect() {
+        duty.runOn(thread);
+        duty.offer(new PlacerEvent.Configured(new WorkloadConfiguration(1, Map.of(), Map.of())));
+        duty.renewed(now);
+        duty.offer(new PlacerEvent.Elected(TERM));
+    }
+
+    @AfterEach
+    void stop() {
+        thread.close();
+    }
+
+    @Test
+    void agents_are_answered_while_the_election_is_renewed() throws Exception {
+        awaitAnswer();
+        now += 4_000;
+        awaitAnswer();
+    }
+
+    @Test
+    void agents_are_not_answered_once_a_successor_may_rely_on_silence() throws Exception {
+        awaitAnswer();
+        now += WorkloadTimings.ELECTION_LEASE_MILLISECONDS + WorkloadTimings.UNRENEWED_MILLISECONDS + 1;
+        assertThat(isAnswered()).isFalse();
+        duty.renewed(now);
+        awaitAnswer();
+    }
+
+    /** Reports are repeated, because the first may come before the placer has read the stored jobs. */
+    private void awaitAnswer() throws InterruptedException {
+        boolean answered = false;
+        for (int tries = 0; tries < MAXIMUM_TRIES && !answered; tries++) {
+            answered = isAnswered();
+        }
+        assertThat(answered).isTrue();
+    }
+
+    /** Whether a report that is sent now is answered within a moment. */
+    private boolean isAnswered() throws InterruptedException {
+        answers.clear();
+        WorkMessage.ServerDescription description = new WorkMessage.ServerDescription(
+                "i-1", 1, "vm", "service", "centre", "rack", List.of("rack"), 32_000, 131_072, 8);
+        duty.offer(new PlacerEvent.Received(
+                connection,
+                new WorkMessage.ServerReport(description, 1, TERM, false, true, now, 1, List.of(), List.of())));
+        return answers.poll(WAIT_MILLISECONDS, TimeUnit.MILLISECONDS) != null;
+    }
+}
