Let the store of the fault test lose its answers, and list what it finds

A record that is written under a wrong revision went unfound, because no write took effect without an answer.

--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
@@ -53,6 +53,7 @@
             advance(seed);
         }
         scenario.storeAnswers = true;
+        scenario.losesAnswers = false;
         silentSince.keySet().stream().toList().forEach(this::reconnect);
         for (int step = 0; step < 3_000; step++) {
             advance(seed);
@@ -87,6 +88,8 @@
                         .ifPresent(job -> scenario.placer.jobCancelled(job, scenario.now));
             case 13 -> scenario.servers.get(server).endKind = random.nextBoolean() ? EndKind.FAILED : EndKind.DONE;
             case 14 -> electWithoutStore();
+            case 18 -> scenario.losesAnswers = true;
+            case 19, 20 -> scenario.losesAnswers = false;
             case 6 -> scenario.writeMilliseconds = random.nextInt(300);
             case 15 -> scenario.servers.get(server).deliverLate(scenario.placer, scenario.now);
             case 16 -> restartAgent(server);
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -44,6 +44,9 @@
     /** Time that a write of records takes. */
     long writeMilliseconds;
 
+    /** Whether writes take effect without an answer. */
+    boolean losesAnswers;
+
     /** Whether writes reach the store. */
     boolean storeAnswers = true;
 
@@ -192,7 +195,11 @@
             }
             revision++;
             writes.forEach(write -> store.put(write.job(), new StoredValue(write.value(), revision)));
-            writer.written(revision);
+            if (losesAnswers) {
+                writer.writeFailed(now);
+            } else {
+                writer.written(revision);
+            }
         }));
     }
 
