Take the refusal of a repeated start for uncertain

Cause, found while reading: a start whose answer is lost with its connection is sent again on the next one. When the second copy was refused (the server drains by then, or the order is too old), the placer took it that nothing ran and placed the task elsewhere, while the first copy may run. A refusal ends a run now only if the order was sent once; otherwise the run is stopped first. Test: AgentReportsTest, fails before. A step that has freed no room is skipped when freed room is reserved.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreedRoom.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreedRoom.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.teaselwood.workload.model.Resources;
 
 /**
@@ -43,15 +44,16 @@
 
     /** Keeps the room from others. */
     void reserve(Room all, Collection<ServerState> servers) {
-        servers.stream()
-                .filter(server -> room.containsKey(server.id))
-                .forEach(server -> all.take(server, room.get(server.id)));
+        concerned(servers).forEach(server -> all.take(server, room.get(server.id)));
     }
 
     /** Undoes {@link #reserve}. */
     void release(Room all, Collection<ServerState> servers) {
-        servers.stream()
-                .filter(server -> room.containsKey(server.id))
-                .forEach(server -> all.release(server, room.get(server.id)));
+        concerned(servers).forEach(server -> all.release(server, room.get(server.id)));
+    }
+
+    /** Most steps have freed no room, and a pass calls this for each of them. */
+    private Stream<ServerState> concerned(Collection<ServerState> servers) {
+        return room.isEmpty() ? Stream.empty() : servers.stream().filter(server -> room.containsKey(server.id));
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -32,6 +32,9 @@
     /** A job without a guarantee throws away at most as much work as it does itself. */
     private static final double LARGEST_LOSS = 1.0;
 
+    /** An urgent run that is stopped is late, and its job stops others in turn. */
+    private static final double URGENT_LOSS_FACTOR = 4.0;
+
     private final Collection<JobState> jobs;
     private final Collection<ServerState> servers;
     private final WorkloadConfiguration configuration;
@@ -76,9 +79,6 @@
         this.reserve = reserve;
     }
 
-    /** An urgent run that is stopped is late, and its job stops others in turn. */
-    private static final double URGENT_LOSS_FACTOR = 4.0;
-
     private record Candidate(JobState job, QueueSettings queue, boolean entitled) {}
 
     void run() {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -20,6 +20,9 @@
     final long createdAt;
     RunState state;
 
+    /** How often its start was sent; only the refusal of an order that was sent once is certain. */
+    int startsSent;
+
     /** Number of the server call after which a missing run has ended; negative while the order is not answered. */
     long confirmedOperation = -1;
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
@@ -67,6 +67,7 @@
     }
 
     void sendStart(Run run) {
+        run.startsSent++;
         send(
                 run.server,
                 new WorkMessage.StartTask(
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -9,6 +9,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.protocol.message.WorkMessage.OrderOutcome;
 import org.teaselwood.protocol.message.WorkMessage.OrderResult;
 import org.teaselwood.protocol.message.WorkMessage.ServerReport;
 import org.teaselwood.workload.model.AdviceSettings;
@@ -190,7 +191,7 @@
         if (run == null) {
             return;
         }
-        switch (result.outcome()) {
+        switch (run.startsSent > 1 ? uncertainIfRefused(result.outcome()) : result.outcome()) {
             case STARTED, SUPERSEDED -> {
                 if (run.state == RunState.ORDERED) {
                     run.state = RunState.RUNNING;
@@ -224,6 +225,14 @@
         }
     }
 
+    /** An earlier copy of the order may have been carried out, although this one was refused. */
+    private static OrderOutcome uncertainIfRefused(OrderOutcome outcome) {
+        return switch (outcome) {
+            case NO_ROOM, UNAVAILABLE, REFUSED, NO_TICKET -> OrderOutcome.UNCERTAIN;
+            default -> outcome;
+        };
+    }
+
     /** A backend server said that it has left. */
     public void serverLeft(String id, long start, long now) {
         ServerState server = servers.get(id);
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.protocol.message.WorkMessage.OrderOutcome;
 import org.teaselwood.workload.record.JobPhase;
 
 /** Reports that arrive late or say less than they seem to, after the connection of an agent was lost. */
@@ -65,6 +66,31 @@
         assertThat(second.running.keySet()).containsExactly("job.0.0.1#2");
     }
 
+    @Test
+    void a_refusal_of_a_repeated_order_does_not_end_the_run_that_the_first_copy_began() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.run(600);
+        WorkMessage.ServerReport before = server.lastReport;
+        scenario.work.put("job.0.0.0", 60_000L);
+        server.answersOrders = false;
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(40);
+        assertThat(server.running).hasSize(1);
+        scenario.connect(server);
+        scenario.placer.report(server.connection, before, scenario.now);
+        scenario.placer.orderAnswered(
+                server.connection,
+                new WorkMessage.OrderResult(
+                        "s1", server.description.start(), "job.0.0.0", 1, OrderOutcome.UNAVAILABLE, 9),
+                scenario.now);
+        scenario.server("s2", "r1");
+        for (int slice = 0; slice < 200; slice++) {
+            scenario.run(10);
+            assertThat(scenario.runningTasks()).isAtMost(1);
+        }
+        assertThat(scenario.starts("job.0.0.0")).isAtLeast(2);
+    }
+
     @Test
     void a_run_that_is_not_on_record_is_stopped() {
         FakeServer server = scenario.server("s1", "r1");
