--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
@@ -73,6 +73,7 @@
         WorkMessage.ServerReport before = server.lastReport;
         scenario.work.put("job.0.0.0", 60_000L);
         server.answersOrders = false;
+        server.stopMilliseconds = 800;
         scenario.submit("job", "normal", PlacerScenario.step(1, 1));
         scenario.run(40);
         assertThat(server.running).hasSize(1);
