Note the process of an agent with its first report, and repeat lost orders later

Cause: the first report of the new process has no lists of the term and left the process unnoted. A start was carried out while it read its first lists; with these, the process was taken for new and the confirmed run for missing. Found in the same trace: orders are repeated after a change of the connection only if the first report has lists of the term, so that a lost order could stay unanswered for ever.

Change: every report notes the process; orders are repeated with the first lists that come. Ruled out: the agent's answer (it was given by the new process, in order). Tests: two in AgentReportsTest, both fail before.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
@@ -31,14 +31,22 @@
         this.runs = runs;
     }
 
-    /** Takes over what a report of the present term says about the runs of a server. */
-    void reconcile(ServerState server, ServerReport report, long now) {
+    /**
+     * Notes the process of the agent; called for every report, also for one that has no lists of the present term. If
+     * it were noted with the first lists only, these would seem newer than a start that the process has carried out
+     * while it read them.
+     */
+    void observeAgent(ServerState server, ServerReport report) {
         if (server.agentLife != report.agentLife()) {
             server.agentLife = report.agentLife();
             server.runs.values().stream()
                     .filter(run -> run.state == RunState.RUNNING)
                     .forEach(run -> run.confirmedOperation = 0);
         }
+    }
+
+    /** Takes over what a report of the present term says about the runs of a server. */
+    void reconcile(ServerState server, ServerReport report, long now) {
         Map<String, RunningTask> running = report.running().stream()
                 .collect(Collectors.toMap(task -> Run.key(task.task(), task.attempt()), task -> task, (a, b) -> a));
         server.strayRuns.clear();
@@ -90,8 +98,12 @@
         }
     }
 
-    /** Repeats what a former connection may have lost. */
+    /** Repeats what a former connection may have lost, once after each change of the connection. */
     void repeatOrders(ServerState server) {
+        if (!server.ordersMayBeLost) {
+            return;
+        }
+        server.ordersMayBeLost = false;
         server.runs.values().forEach(run -> {
             if (run.state == RunState.ORDERED) {
                 runs.sendStart(run);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
@@ -34,6 +34,9 @@
     /** Number of the newest connection that reported. */
     long connectionNumber = -1;
 
+    /** Whether orders have to be repeated, because the connection has changed since. */
+    boolean ordersMayBeLost;
+
     /** Process of the agent that reported last. */
     long agentLife;
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -164,15 +164,15 @@
             LOGGER.info("backend server {} draining={}", server.id, report.draining());
             server.draining = report.draining();
         }
+        server.ordersMayBeLost |= reconnected;
+        reconciliation.observeAgent(server, report);
         if (report.term() == term) {
             report.ended().stream()
                     .filter(ended -> ended.number() > server.processedEnds)
                     .forEach(ended -> ends.ended(server, ended, now));
             reconciliation.reconcile(server, report, now);
             pacing.adjust(server, now);
-            if (reconnected) {
-                reconciliation.repeatOrders(server);
-            }
+            reconciliation.repeatOrders(server);
         }
         connection.send(new WorkMessage.Contact(
                 term, report.sentMilliseconds(), server.id, server.start, server.acknowledgedEnds));
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.teaselwood.protocol.message.WorkMessage;
 import org.teaselwood.protocol.message.WorkMessage.OrderOutcome;
@@ -92,6 +93,47 @@
         assertThat(scenario.starts("job.0.0.0")).isAtLeast(2);
     }
 
+    /** A report with empty lists, as an agent sends it that has just started. */
+    private WorkMessage.ServerReport emptyReport(FakeServer server, long term, long operation) {
+        return new WorkMessage.ServerReport(
+                server.description, server.agentLife, term, false, true, scenario.now, operation, List.of(), List.of());
+    }
+
+    @Test
+    void the_first_lists_of_a_restarted_agent_do_not_end_a_run_that_began_while_it_read_them() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.run(600);
+        server.restartAgent();
+        scenario.connect(server);
+        scenario.placer.report(server.connection, emptyReport(server, 0, 0), scenario.now);
+        server.reportsHeldBack = true;
+        scenario.work.put("job.0.0.0", 60_000L);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(100);
+        assertThat(server.running).hasSize(1);
+        scenario.placer.report(server.connection, emptyReport(server, server.term, 1), scenario.now);
+        server.reportsHeldBack = false;
+        scenario.run(1_000);
+        assertThat(server.running.keySet()).containsExactly("job.0.0.0#1");
+        assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
+    }
+
+    @Test
+    void a_lost_order_is_repeated_although_the_new_connection_begins_without_lists() {
+        FakeServer server = scenario.server("s1", "r1");
+        scenario.run(600);
+        scenario.work.put("job.0.0.0", 60_000L);
+        server.connected = false;
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(100);
+        assertThat(server.starts).isEmpty();
+        server.connected = true;
+        scenario.connect(server);
+        scenario.placer.report(server.connection, emptyReport(server, 0, 0), scenario.now);
+        scenario.run(1_000);
+        assertThat(server.running.keySet()).containsExactly("job.0.0.0#1");
+    }
+
     @Test
     void a_run_that_is_not_on_record_is_stopped() {
         FakeServer server = scenario.server("s1", "r1");
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -49,6 +49,9 @@
     /** Whether a start without a ticket is refused. */
     boolean needsTicket;
 
+    /** Whether the agent sends no reports of its own; it answers orders all the same. */
+    boolean reportsHeldBack;
+
     /** The next starts that are refused for their ticket. */
     int refusesTickets;
 
@@ -161,7 +164,7 @@
         if (!connected || connection == null) {
             return;
         }
-        if (now >= nextReport) {
+        if (now >= nextReport && !reportsHeldBack) {
             report();
         }
         List<WorkMessage> messages = List.copyOf(outbox);
