Let the fault test start agents as slowly as real ones

A restarted agent of the stand-in now reports at once without lists, and sends its first lists 150 ms after it has read them; orders are answered with the number of the newest read.

--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/AgentReportsTest.java
@@ -93,10 +93,10 @@
         assertThat(scenario.starts("job.0.0.0")).isAtLeast(2);
     }
 
-    /** A report with empty lists, as an agent sends it that has just started. */
-    private WorkMessage.ServerReport emptyReport(FakeServer server, long term, long operation) {
+    /** The first report of an agent, which has read no lists yet. */
+    private WorkMessage.ServerReport firstReport(FakeServer server) {
         return new WorkMessage.ServerReport(
-                server.description, server.agentLife, term, false, true, scenario.now, operation, List.of(), List.of());
+                server.description, server.agentLife, 0, false, true, scenario.now, 0, List.of(), List.of());
     }
 
     @Test
@@ -105,14 +105,10 @@
         scenario.run(600);
         server.restartAgent();
         scenario.connect(server);
-        scenario.placer.report(server.connection, emptyReport(server, 0, 0), scenario.now);
-        server.reportsHeldBack = true;
         scenario.work.put("job.0.0.0", 60_000L);
         scenario.submit("job", "normal", PlacerScenario.step(1, 1));
         scenario.run(100);
         assertThat(server.running).hasSize(1);
-        scenario.placer.report(server.connection, emptyReport(server, server.term, 1), scenario.now);
-        server.reportsHeldBack = false;
         scenario.run(1_000);
         assertThat(server.running.keySet()).containsExactly("job.0.0.0#1");
         assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
@@ -129,7 +125,7 @@
         assertThat(server.starts).isEmpty();
         server.connected = true;
         scenario.connect(server);
-        scenario.placer.report(server.connection, emptyReport(server, 0, 0), scenario.now);
+        scenario.placer.report(server.connection, firstReport(server), scenario.now);
         scenario.run(1_000);
         assertThat(server.running.keySet()).containsExactly("job.0.0.0#1");
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -22,6 +22,7 @@
  */
 final class FakeServer {
     private static final int REPORT_MILLISECONDS = 500;
+    private static final int SLOW_READ_MILLISECONDS = 150;
 
     final ServerDescription description;
     final Map<String, Long> running = new LinkedHashMap<>();
@@ -49,9 +50,6 @@
     /** Whether a start without a ticket is refused. */
     boolean needsTicket;
 
-    /** Whether the agent sends no reports of its own; it answers orders all the same. */
-    boolean reportsHeldBack;
-
     /** The next starts that are refused for their ticket. */
     int refusesTickets;
 
@@ -81,6 +79,8 @@
     /** The newest report that was sent. */
     WorkMessage.ServerReport lastReport;
 
+    private int startingReports;
+    private List<RunningTask> firstLists = List.of();
     private AgentConnection oldConnection;
     private WorkMessage.ServerReport oldReport;
     private long connections;
@@ -164,7 +164,7 @@
         if (!connected || connection == null) {
             return;
         }
-        if (now >= nextReport && !reportsHeldBack) {
+        if (now >= nextReport) {
             report();
         }
         List<WorkMessage> messages = List.copyOf(outbox);
@@ -192,6 +192,7 @@
         agentLife++;
         operation = 0;
         outbox.clear();
+        startingReports = 2;
     }
 
     /** Ends everything, as when the lease has run out. */
@@ -212,8 +213,34 @@
     }
 
     private void report() {
+        if (startingReports > 0) {
+            reportWhileStarting();
+            return;
+        }
         nextReport = now + REPORT_MILLISECONDS;
-        List<RunningTask> tasks = running.entrySet().stream()
+        lastReport = new WorkMessage.ServerReport(
+                description, agentLife, term, draining, true, now, ++operation, runningTasks(), List.copyOf(ended));
+        outbox.add(lastReport);
+    }
+
+    /** An agent that has just started reports at once, and sends its first lists some time after it has read them. */
+    private void reportWhileStarting() {
+        if (startingReports == 2) {
+            firstLists = runningTasks();
+            operation = 1;
+            outbox.add(new WorkMessage.ServerReport(
+                    description, agentLife, 0, draining, true, now, 0, List.of(), List.of()));
+            nextReport = now + SLOW_READ_MILLISECONDS;
+        } else {
+            outbox.add(new WorkMessage.ServerReport(
+                    description, agentLife, term, draining, true, now, 1, firstLists, List.of()));
+            nextReport = now;
+        }
+        startingReports--;
+    }
+
+    private List<RunningTask> runningTasks() {
+        return running.entrySet().stream()
                 .map(run -> {
                     int split = run.getKey().indexOf('#');
                     int percent = hangs ? 0 : (int) Math.min(100, (now - run.getValue()) * 100 / workOf(run.getKey()));
@@ -225,9 +252,6 @@
                             loads.getOrDefault(run.getKey().substring(0, split), 0));
                 })
                 .toList();
-        lastReport = new WorkMessage.ServerReport(
-                description, agentLife, term, draining, true, now, ++operation, tasks, List.copyOf(ended));
-        outbox.add(lastReport);
     }
 
     private void received(WorkMessage message) {
@@ -282,6 +306,6 @@
 
     private void answer(String task, int attempt, OrderOutcome outcome) {
         outbox.add(new WorkMessage.OrderResult(
-                description.server(), description.start(), task, attempt, outcome, ++operation));
+                description.server(), description.start(), task, attempt, outcome, operation));
     }
 }
