Say once how the placer reaches servers, runs and open jobs

Cause, from reading the whole change: a message to a server was guarded against a missing connection in three ways and built in two classes; the runs of a step were collected by the same filter in six places; each pass filtered the open jobs four times and looked up the servers of a question for advice also when none could be asked; whether a step is being asked about was kept beside the calls that say so.

Change: ServerState.send, Runs.sendPace, StepState.runs, Run.isComplete, the open jobs of a pass are made once, the servers for advice are a stream that is read only for a call.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/AdviceRequests.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/AdviceRequests.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.workload.model.AdviceSettings;
@@ -45,21 +46,22 @@
     /**
      * Asks about servers that the step could use, those with room first.
      *
-     * @param servers servers that may be asked about
+     * @param servers servers that may be asked about; they are looked up only if a call can be made
      */
-    void ask(StepState step, AdviceSettings settings, List<ServerState> servers, Room room, long now) {
-        if (step.advice.asking || servers.isEmpty() || calls.size() >= MAXIMUM_CALLS || now < retryAt) {
+    void ask(StepState step, AdviceSettings settings, Stream<ServerState> servers, Room room, long now) {
+        if (calls.containsKey(step.name()) || calls.size() >= MAXIMUM_CALLS || now < retryAt) {
             return;
         }
         int waiting = (int) step.tasks.stream().filter(TaskState::waits).count();
-        List<ServerState> chosen = servers.stream()
-                .sorted(Comparator.comparingInt((ServerState server) ->
+        List<ServerState> chosen = servers.sorted(Comparator.comparingInt((ServerState server) ->
                                 room.freeOf(server).covers(step.specification.reserved()) ? 0 : 1)
                         .thenComparingInt(server -> -room.freeOf(server).accelerators())
                         .thenComparing(server -> server.id))
                 .limit(Math.clamp(2L * waiting, USUAL_SERVERS, MAXIMUM_SERVERS))
                 .toList();
-        step.advice.asking = true;
+        if (chosen.isEmpty()) {
+            return;
+        }
         calls.put(step.name(), new Call(step, settings, chosen));
         long limit = MAXIMUM_CALLS * settings.answerMilliseconds(chosen.size()) + ANSWER_SLACK_MILLISECONDS;
         effects.advise(step.name(), chosen.stream().map(server -> server.id).toList(), limit);
@@ -76,15 +78,12 @@
                 step,
                 allowed.size(),
                 call.servers().size());
-        call.step().advice.asking = false;
         call.step().advice.answered(call.servers(), allowed, call.settings(), now);
     }
 
     /** The service has not answered. */
     void failed(String step, long now) {
-        Call call = calls.remove(step);
-        if (call != null) {
-            call.step().advice.asking = false;
+        if (calls.remove(step) != null) {
             retryAt = now + RETRY_MILLISECONDS;
         }
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
@@ -23,14 +23,14 @@
     private final Set<Run> interruptible = new HashSet<>();
     private int urgentAccelerators;
 
-    Entitlements(Collection<JobState> jobs, WorkloadConfiguration configuration) {
+    Entitlements(Collection<JobState> openJobs, WorkloadConfiguration configuration) {
         this.configuration = configuration;
         Map<String, Integer> left = new HashMap<>(configuration.guaranteedAccelerators());
-        List<JobState> urgent = jobs.stream()
-                .filter(job -> !job.phase.isFinal() && priority(job) == 0)
+        List<JobState> urgent = openJobs.stream()
+                .filter(this::isUrgent)
                 .sorted(Comparator.comparingLong(job -> job.acceptedRevision))
                 .toList();
-        jobs.stream().filter(job -> !job.phase.isFinal()).forEach(this::findInterruptible);
+        openJobs.forEach(this::findInterruptible);
         for (JobState job : urgent) {
             int need = accelerators(job);
             urgentAccelerators += need;
@@ -50,10 +50,7 @@
         job.steps.stream()
                 .filter(step -> step.specification.longRunning() && step.specification.mayMiss() > 0)
                 .forEach(step -> {
-                    List<Run> atWork = step.tasks.stream()
-                            .filter(task -> task.run != null && task.run.atWork())
-                            .map(task -> task.run)
-                            .toList();
+                    List<Run> atWork = step.runs().filter(Run::atWork).toList();
                     int missing = step.tasks.size() - atWork.size();
                     atWork.stream()
                             .limit(Math.max(0, step.specification.mayMiss() - missing))
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobState.java
@@ -89,10 +89,7 @@
     }
 
     Stream<Run> runs() {
-        return steps.stream()
-                .flatMap(step -> step.tasks.stream())
-                .filter(task -> task.run != null)
-                .map(task -> task.run);
+        return steps.stream().flatMap(StepState::runs);
     }
 
     /** Runs the action once this version of the job is stored. */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Pacing.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Pacing.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.teaselwood.protocol.message.WorkMessage;
 
 /**
  * Slows filling work beside work that serves users. Confined to the placer's duty thread.
@@ -36,10 +35,10 @@
     /** An order may be lost; a pace that is not full is ordered again after this time. */
     private static final long REPEAT_MILLISECONDS = 2_000;
 
-    private final long term;
+    private final Runs runs;
 
-    Pacing(long term) {
-        this.term = term;
+    Pacing(Runs runs) {
+        this.runs = runs;
     }
 
     /** Adjusts the pace of all that fills on a server, after a report of its loads. */
@@ -47,7 +46,7 @@
         List<Run> filling = server.runs.values().stream()
                 .filter(run -> run.state == RunState.RUNNING && run.step.specification.fills())
                 .toList();
-        if (filling.isEmpty() || server.connection == null) {
+        if (filling.isEmpty()) {
             return;
         }
         double strain = server.runs.values().stream()
@@ -69,9 +68,7 @@
         }
         run.pace = wanted;
         run.pacedAt = now;
-        ServerState server = run.server;
-        server.connection.send(
-                new WorkMessage.PaceTask(term, server.id, server.start, run.task.name.toString(), run.attempt, wanted));
+        runs.sendPace(run);
     }
 
     /** The pace that the strain asks for; a negative strain means that nothing serves there. */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.teaselwood.workload.model.AdviceSettings;
 import org.teaselwood.workload.model.QueueSettings;
 import org.teaselwood.workload.model.WorkloadConfiguration;
@@ -35,7 +36,7 @@
     /** An urgent run that is stopped is late, and its job stops others in turn. */
     private static final double URGENT_LOSS_FACTOR = 4.0;
 
-    private final Collection<JobState> jobs;
+    private final Collection<JobState> openJobs;
     private final Collection<ServerState> servers;
     private final WorkloadConfiguration configuration;
     private final Entitlements entitlements;
@@ -55,11 +56,11 @@
         void preempt(Run run, JobState beneficiary);
 
         /** Asks the advice service which of the servers may run the step. */
-        void ask(StepState step, AdviceSettings settings, List<ServerState> servers, Room room);
+        void ask(StepState step, AdviceSettings settings, Stream<ServerState> servers, Room room);
     }
 
     PlacementPass(
-            Collection<JobState> jobs,
+            Collection<JobState> openJobs,
             Collection<ServerState> servers,
             WorkloadConfiguration configuration,
             UrgentReserve reserve,
@@ -67,10 +68,10 @@
             long stopMilliseconds,
             long now,
             long wall) {
-        this.jobs = jobs;
+        this.openJobs = openJobs;
         this.servers = servers;
         this.configuration = configuration;
-        this.entitlements = new Entitlements(jobs, configuration);
+        this.entitlements = new Entitlements(openJobs, configuration);
         this.actions = actions;
         this.stopMilliseconds = stopMilliseconds;
         this.now = now;
@@ -94,8 +95,7 @@
     }
 
     private List<Candidate> candidates() {
-        return jobs.stream()
-                .filter(job -> !job.phase.isFinal())
+        return openJobs.stream()
                 .flatMap(job -> configuration
                         .queue(job.specification.queue())
                         .map(queue -> new Candidate(job, queue, entitlements.isEntitled(job)))
@@ -137,9 +137,7 @@
     }
 
     private void askAdvice(Candidate candidate, StepState step, AdviceSettings settings) {
-        List<ServerState> unknown =
-                room.unadvised(candidate.queue().service(), step).toList();
-        actions.ask(step, settings, unknown, room);
+        actions.ask(step, settings, room.unadvised(candidate.queue().service(), step), room);
     }
 
     /** Work that loses much when it is stopped stays out of the reserve, unless it has waited long. */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Preemption.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Preemption.java
@@ -117,11 +117,6 @@
     }
 
     private static List<Run> members(Run run) {
-        return run.step.gang()
-                ? run.step.tasks.stream()
-                        .filter(task -> task.run != null)
-                        .map(task -> task.run)
-                        .toList()
-                : List.of(run);
+        return run.step.gang() ? run.step.runs().toList() : List.of(run);
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -63,7 +63,11 @@
 
     /** Whether a task that runs until it is cancelled is past its start. */
     boolean atWork() {
-        return state == RunState.RUNNING && percent >= COMPLETE_PERCENT;
+        return state == RunState.RUNNING && isComplete();
+    }
+
+    boolean isComplete() {
+        return percent >= COMPLETE_PERCENT;
     }
 
     Resources reserved() {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunSupervision.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunSupervision.java
@@ -15,8 +15,6 @@
     /** A task whose progress stands still this long is moved; progress is reported in whole percents. */
     private static final long STALL_MILLISECONDS = 4_000;
 
-    private static final int COMPLETE_PERCENT = 100;
-
     /** Work that is paced down to less than this may need longer than the limit for one percent. */
     private static final int SLOW_PERCENT = 60;
 
@@ -64,7 +62,7 @@
                 .flatMap(server -> server.runs.values().stream())
                 .filter(run -> run.state == RunState.RUNNING
                         && !run.step.specification.longRunning()
-                        && run.percent < COMPLETE_PERCENT
+                        && !run.isComplete()
                         && run.pace >= SLOW_PERCENT
                         && now - run.progressAt > STALL_MILLISECONDS
                         && now - run.server.heardAt < WorkloadTimings.SUSPECT_MILLISECONDS)
@@ -84,8 +82,6 @@
     }
 
     private static boolean isLastOfGang(Run run) {
-        return run.step.tasks.stream()
-                .filter(member -> member.run != null)
-                .allMatch(member -> member.run.percent >= run.percent);
+        return run.step.runs().allMatch(member -> member.percent >= run.percent);
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Runs.java
@@ -1,6 +1,5 @@
 package org.teaselwood.workload.placer;
 
-import java.util.ArrayList;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.protocol.message.WorkMessage;
@@ -68,28 +67,25 @@
 
     void sendStart(Run run) {
         run.startsSent++;
-        send(
-                run.server,
-                new WorkMessage.StartTask(
-                        term,
-                        run.server.agentClock,
-                        run.server.id,
-                        run.server.start,
-                        run.task.name.toString(),
-                        run.attempt,
-                        run.job.specification.payload(),
-                        run.step.checkpointFor(run.task),
-                        run.step.advice.ticketFor(run.server)));
+        run.server.send(new WorkMessage.StartTask(
+                term,
+                run.server.agentClock,
+                run.server.id,
+                run.server.start,
+                run.task.name.toString(),
+                run.attempt,
+                run.job.specification.payload(),
+                run.step.checkpointFor(run.task),
+                run.step.advice.ticketFor(run.server)));
     }
 
     void sendStop(ServerState server, String task, int attempt) {
-        send(server, new WorkMessage.StopTask(term, server.id, server.start, task, attempt));
+        server.send(new WorkMessage.StopTask(term, server.id, server.start, task, attempt));
     }
 
-    private static void send(ServerState server, WorkMessage message) {
-        if (server.connection != null) {
-            server.connection.send(message);
-        }
+    void sendPace(Run run) {
+        run.server.send(new WorkMessage.PaceTask(
+                term, run.server.id, run.server.start, run.task.name.toString(), run.attempt, run.pace));
     }
 
     void stop(Run run, long now) {
@@ -99,9 +95,7 @@
                 run.state = RunState.STOPPING;
                 run.confirmedOperation = -1;
                 sendStop(run.server, run.task.name.toString(), run.attempt);
-                if (run.step.gang()) {
-                    breakGang(run.step, now);
-                }
+                breakGang(run.step, now);
             }
             default -> LOGGER.debug("task {} is being stopped already", run.task.name);
         }
@@ -121,11 +115,7 @@
 
     void breakGang(StepState step, long now) {
         if (step.gang()) {
-            step.tasks.stream()
-                    .filter(member -> member.run != null)
-                    .map(member -> member.run)
-                    .toList()
-                    .forEach(run -> stop(run, now));
+            step.runs().toList().forEach(run -> stop(run, now));
         }
     }
 
@@ -151,7 +141,7 @@
         measure(phase == JobPhase.COMPLETED ? "completion" : "end", job, now);
         writes.changed(job);
         if (phase != JobPhase.COMPLETED) {
-            new ArrayList<>(job.runs().toList()).forEach(run -> stop(run, now));
+            job.runs().toList().forEach(run -> stop(run, now));
         }
         changed = true;
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.teaselwood.protocol.message.WorkMessage;
 import org.teaselwood.protocol.message.WorkMessage.ServerDescription;
 import org.teaselwood.workload.model.Resources;
 
@@ -63,6 +64,13 @@
         this.heardAt = now;
     }
 
+    /** Sends a message to its agent; without a connection the message is dropped. */
+    void send(WorkMessage message) {
+        if (connection != null) {
+            connection.send(message);
+        }
+    }
+
     /** Whether its agent has reported to this placer; otherwise it is known from records only. */
     boolean hasReported() {
         return description != null;
@@ -85,7 +93,7 @@
 
     /** Whether it may get new tasks. */
     boolean usable(long now, long suspectMilliseconds) {
-        return description != null
+        return hasReported()
                 && connection != null
                 && reconciled
                 && responsive
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepAdvice.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepAdvice.java
@@ -23,9 +23,6 @@
     /** Whether the queue of the step needs tickets, by the newest configuration. */
     boolean required;
 
-    /** Whether the service is being asked about the step. */
-    boolean asking;
-
     private record Life(String server, long start) {
         static Life of(ServerState server) {
             return new Life(server.id, server.start);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.teaselwood.workload.model.StepSpecification;
 import org.teaselwood.workload.model.TaskName;
 import org.teaselwood.workload.record.StepRecord;
@@ -51,6 +52,11 @@
                 / 1_000.0;
     }
 
+    /** Runs of its tasks that have not ended. */
+    Stream<Run> runs() {
+        return tasks.stream().filter(task -> task.run != null).map(task -> task.run);
+    }
+
     boolean done() {
         return tasks.stream().allMatch(task -> task.done);
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaselwood.protocol.message.WorkMessage;
@@ -86,7 +87,7 @@
         this.restoration = new Restoration(servers);
         this.supervision = new RunSupervision(servers, runs, timings);
         this.reconciliation = new Reconciliation(jobs, runs);
-        this.pacing = new Pacing(term);
+        this.pacing = new Pacing(runs);
         this.retention = new Retention(jobs, timings, effects);
         this.advice = new AdviceRequests(effects);
     }
@@ -128,8 +129,7 @@
     /** A newer configuration is in force. */
     public void configurationChanged(WorkloadConfiguration newConfiguration) {
         Map<String, QueueSettings> former = new LinkedHashMap<>();
-        jobs.values().stream()
-                .filter(job -> !job.phase.isFinal())
+        openJobs()
                 .map(job -> job.specification.queue())
                 .distinct()
                 .forEach(name -> configuration.queue(name).ifPresent(queue -> former.put(name, queue)));
@@ -138,6 +138,10 @@
         runs.markChanged();
     }
 
+    private Stream<JobState> openJobs() {
+        return jobs.values().stream().filter(job -> !job.phase.isFinal());
+    }
+
     /** An agent reported the state of its backend server. */
     public void report(AgentConnection connection, ServerReport report, long now) {
         Optional<ServerState> found = serverOf(report, now);
@@ -281,8 +285,7 @@
         writes.written(revision);
         servers.values().stream()
                 .filter(ServerState::acknowledgeStored)
-                .filter(server -> server.connection != null)
-                .forEach(server -> server.connection.send(
+                .forEach(server -> server.send(
                         new WorkMessage.Contact(term, 0, server.id, server.start, server.acknowledgedEnds)));
     }
 
@@ -334,10 +337,10 @@
         passedAt = now;
         passes++;
         runs.takeChanged();
-        long open = jobs.values().stream().filter(job -> !job.phase.isFinal()).count();
-        passPause = Math.min(PASS_MILLISECONDS, open * servers.size() / PAIRS_A_MILLISECOND);
+        List<JobState> open = openJobs().toList();
+        passPause = Math.min(PASS_MILLISECONDS, (long) open.size() * servers.size() / PAIRS_A_MILLISECOND);
         new PlacementPass(
-                        jobs.values(),
+                        open,
                         servers.values(),
                         configuration,
                         reserve,
@@ -366,7 +369,7 @@
         }
 
         @Override
-        public void ask(StepState step, AdviceSettings settings, List<ServerState> candidates, Room room) {
+        public void ask(StepState step, AdviceSettings settings, Stream<ServerState> candidates, Room room) {
             advice.ask(step, settings, candidates, room, now);
         }
 
