Read JSON arrays, answers of a term and accepted jobs in one place each

Cause, from reading the whole change: seven classes turned JSON arrays into streams by the same index loop; eight events of the placer repeated the guard on their term; the accepted job of a team was looked up by the same two lines for state and cancel; the agent kept times of its stops that nothing read; readBack took a list that it did not use.

Change: JsonArrays; a sealed PlacerEvent.Answer that is ignored once if its term is over; JobDesk.accepted; a set of stops. No behaviour changes; assertions of the tests are untouched.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -1,10 +1,8 @@
 package org.teaselwood.workload.agent;
 
 import io.vertx.core.Vertx;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -55,7 +53,7 @@
     private final MonotonicClock clock;
     private final BackendServerCalls calls;
     private final Set<String> startsInProgress = new HashSet<>();
-    private final Map<String, Long> stopsInProgress = new HashMap<>();
+    private final Set<String> stopsInProgress = new HashSet<>();
     private ServerAnnouncement announcement;
     private boolean left;
     private long highestTerm;
@@ -381,7 +379,7 @@
 
     private void retryStart(WorkMessage.StartTask order, String key, long since, boolean unanswered) {
         boolean expired = clock.nowMilliseconds() - since > START_LIMIT_MILLISECONDS;
-        if (expired || stopsInProgress.containsKey(key) || announcement.draining()) {
+        if (expired || stopsInProgress.contains(key) || announcement.draining()) {
             startsInProgress.remove(key);
             answer(order.task(), order.attempt(), OrderOutcome.UNCERTAIN);
             return;
@@ -416,7 +414,7 @@
 
     private void stopOrdered(WorkMessage.StopTask order) {
         String key = order.task() + "#" + order.attempt();
-        if (stopsInProgress.putIfAbsent(key, clock.nowMilliseconds()) == null) {
+        if (stopsInProgress.add(key)) {
             tryStop(order, key);
         }
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobDesk.java
@@ -144,10 +144,7 @@
                 () -> store.get(WorkloadKeys.progress(job))
                         .chain(progress -> progress.isPresent()
                                 ? Uni.createFrom().item(phaseOf(progress.get(), team))
-                                : store.get(WorkloadKeys.accepted(job))
-                                        .map(accepted -> accepted.filter(item ->
-                                                        teamOf(job, item).equals(team))
-                                                .map(item -> JobPhase.QUEUED))),
+                                : accepted(job, team).map(accepted -> accepted.map(item -> JobPhase.QUEUED))),
                 limitMilliseconds);
     }
 
@@ -156,12 +153,16 @@
         return record.team().equals(team) ? Optional.of(record.phase()) : Optional.empty();
     }
 
+    /** The accepted job of the team, empty when there is no such job. */
+    private Uni<Optional<KeyValue>> accepted(String job, String team) {
+        return store.get(WorkloadKeys.accepted(job))
+                .map(accepted -> accepted.filter(item -> teamOf(job, item).equals(team)));
+    }
+
     /** Cancels a job of the team; false when there is no such job. */
     public Uni<Boolean> cancel(String job, String team, long limitMilliseconds) {
         return retried(
-                () -> store.get(WorkloadKeys.accepted(job))
-                        .map(accepted ->
-                                accepted.filter(item -> teamOf(job, item).equals(team)))
+                () -> accepted(job, team)
                         .chain(accepted -> accepted.isEmpty()
                                 ? Uni.createFrom().item(false)
                                 : storeCancellation(job, accepted.get().revision())),
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerDuty.java
@@ -86,6 +86,7 @@
     @Override
     public void handle(PlacerEvent event, long now) {
         switch (event) {
+            case PlacerEvent.Answer outdated when outdated.term() != term -> LOGGER.debug("ignored {}", outdated);
             case PlacerEvent.Elected elected -> {
                 term = elected.term();
                 placer = null;
@@ -106,20 +107,14 @@
             case PlacerEvent.Received received -> withPlacer(running -> received(running, received, now));
             case PlacerEvent.Disconnected disconnected ->
                 withPlacer(running -> running.disconnected(disconnected.connection()));
-            case PlacerEvent.Written written
-            when written.term() == term -> withPlacer(running -> running.written(written.revision()));
-            case PlacerEvent.RevisionsRead read
-            when read.term() == term -> withPlacer(running -> running.revisionsRead(read.revisions()));
-            case PlacerEvent.WriteFailed failed
-            when failed.term() == term -> withPlacer(running -> running.writeFailed(now));
-            case PlacerEvent.Removed removed when removed.term() == term -> withPlacer(WorkPlacer::removed);
-            case PlacerEvent.RemoveFailed failed when failed.term() == term -> withPlacer(WorkPlacer::removeFailed);
-            case PlacerEvent.Advised advised
-            when advised.term() == term ->
+            case PlacerEvent.Written written -> withPlacer(running -> running.written(written.revision()));
+            case PlacerEvent.RevisionsRead read -> withPlacer(running -> running.revisionsRead(read.revisions()));
+            case PlacerEvent.WriteFailed failed -> withPlacer(running -> running.writeFailed(now));
+            case PlacerEvent.Removed removed -> withPlacer(WorkPlacer::removed);
+            case PlacerEvent.RemoveFailed failed -> withPlacer(WorkPlacer::removeFailed);
+            case PlacerEvent.Advised advised ->
                 withPlacer(running -> running.advised(advised.step(), advised.tickets(), now));
-            case PlacerEvent.AdviceFailed failed
-            when failed.term() == term -> withPlacer(running -> running.adviceFailed(failed.step(), now));
-            case PlacerEvent outdated -> LOGGER.debug("ignored {}", outdated);
+            case PlacerEvent.AdviceFailed failed -> withPlacer(running -> running.adviceFailed(failed.step(), now));
         }
         // Events that wait are handled first; a pass for each of them would let the ring fill up.
         if (thread.depth() == 0 || now - advancedAt >= ADVANCE_MILLISECONDS) {
@@ -154,7 +149,7 @@
                             if (result.applied()) {
                                 offer(new PlacerEvent.Written(writeTerm, result.revision()));
                             } else {
-                                readBack(writeTerm, writes);
+                                readBack(writeTerm);
                             }
                         },
                         failure -> {
@@ -244,7 +239,7 @@
     }
 
     private void loaded(PlacerEvent.Loaded loaded, long now) {
-        if (loaded.term() != term || placer != null) {
+        if (placer != null) {
             return;
         }
         if (loaded.progress() == null || configuration == null) {
@@ -312,7 +307,7 @@
         }
     }
 
-    private void readBack(long writeTerm, List<RecordWrite> writes) {
+    private void readBack(long writeTerm) {
         store.get(WorkloadKeys.PLACER)
                 .chain(item -> {
                     if (item.isEmpty() || item.get().revision() != writeTerm) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEvent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEvent.java
@@ -9,6 +9,12 @@
 
 /** What the placer's duty thread handles. Immutable. */
 sealed interface PlacerEvent {
+    /** An answer to something that the placer of a term asked; it means nothing to that of another. */
+    sealed interface Answer extends PlacerEvent {
+        /** Term of the placer that asked. */
+        long term();
+    }
+
     /** This entry is the placer of a term. */
     record Elected(long term) implements PlacerEvent {}
 
@@ -16,7 +22,7 @@
     record Deposed() implements PlacerEvent {}
 
     /** The stored jobs were read. */
-    record Loaded(long term, List<KeyValue> progress, List<KeyValue> requests) implements PlacerEvent {}
+    record Loaded(long term, List<KeyValue> progress, List<KeyValue> requests) implements Answer {}
 
     /** Callers wrote requests. */
     record Requested(List<KeyValue> requests) implements PlacerEvent {}
@@ -31,23 +37,23 @@
     record Disconnected(AgentConnection connection) implements PlacerEvent {}
 
     /** A write took effect. */
-    record Written(long term, long revision) implements PlacerEvent {}
+    record Written(long term, long revision) implements Answer {}
 
     /** A condition of a write did not hold. */
-    record RevisionsRead(long term, Map<String, Long> revisions) implements PlacerEvent {}
+    record RevisionsRead(long term, Map<String, Long> revisions) implements Answer {}
 
     /** Jobs that ended long ago are no longer stored. */
-    record Removed(long term) implements PlacerEvent {}
+    record Removed(long term) implements Answer {}
 
     /** It is not known whether they are. */
-    record RemoveFailed(long term) implements PlacerEvent {}
+    record RemoveFailed(long term) implements Answer {}
 
     /** The advice service has answered. */
-    record Advised(long term, String step, Map<String, String> tickets) implements PlacerEvent {}
+    record Advised(long term, String step, Map<String, String> tickets) implements Answer {}
 
     /** The advice service has not answered. */
-    record AdviceFailed(long term, String step) implements PlacerEvent {}
+    record AdviceFailed(long term, String step) implements Answer {}
 
     /** It is not known whether a write took effect. */
-    record WriteFailed(long term) implements PlacerEvent {}
+    record WriteFailed(long term) implements Answer {}
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -8,8 +8,6 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.workload.model.JobSpecification;
@@ -50,7 +48,7 @@
                         json.getString("queue"),
                         json.getString("team"),
                         json.getString("payload"),
-                        objects(json.getJsonArray("steps"))
+                        JsonArrays.objects(json.getJsonArray("steps"))
                                 .map(WorkloadJson::step)
                                 .toList(),
                         json.getLong("startAt"),
@@ -92,7 +90,7 @@
                 json -> new JobRecord(
                         JobPhase.valueOf(json.getString("phase")),
                         json.getString("team"),
-                        objects(json.getJsonArray("steps"))
+                        JsonArrays.objects(json.getJsonArray("steps"))
                                 .map(WorkloadJson::stepRecord)
                                 .toList()));
     }
@@ -131,12 +129,11 @@
     }
 
     private static StepSpecification step(JsonObject json) {
-        JsonArray after = json.getJsonArray("after");
         return new StepSpecification(
                 json.getInteger("count"),
                 new Resources(json.getLong("milliCores"), json.getLong("memory"), json.getInteger("accelerators")),
                 json.getLong("estimate"),
-                IntStream.range(0, after.size()).mapToObj(after::getInteger).toList(),
+                JsonArrays.integers(json.getJsonArray("after")).toList(),
                 json.getBoolean("checkpointing"),
                 json.getBoolean("gang"),
                 json.getBoolean("sameRack"),
@@ -150,9 +147,7 @@
     }
 
     private static StepRecord stepRecord(JsonObject json) {
-        JsonArray tasks = json.getJsonArray("tasks");
-        List<TaskRecord> records = IntStream.range(0, tasks.size())
-                .mapToObj(tasks::getJsonArray)
+        List<TaskRecord> records = JsonArrays.arrays(json.getJsonArray("tasks"))
                 .map(task -> new TaskRecord(
                         task.getInteger(0),
                         task.getInteger(1),
@@ -165,10 +160,6 @@
         return new StepRecord(json.getInteger("occurrence"), json.getInteger("step"), records);
     }
 
-    private static Stream<JsonObject> objects(JsonArray array) {
-        return IntStream.range(0, array.size()).mapToObj(array::getJsonObject);
-    }
-
     private static <T> T decode(byte[] value, Function<JsonObject, T> reader) {
         try {
             return reader.apply(new JsonObject(Buffer.buffer(value)));
