--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FreedRoomTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FreedRoomTest.java
@@ -15,21 +15,14 @@
     private final PlacerScenario scenario = new PlacerScenario();
 
     private static StepSpecification gang(int count, int accelerators) {
-        return new StepSpecification(
+        return PlacerScenario.step(
                 count,
                 new Resources(1_000, 1_000, accelerators),
                 20_000,
                 List.of(),
-                false,
                 true,
                 false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                0,
-                0);
+                PlacerScenario.Sharing.NONE);
     }
 
     private void fill(String job, int accelerators) {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -161,10 +161,21 @@
     }
 
     static StepSpecification step(int count, int accelerators, boolean gang, boolean sameRack, List<Integer> after) {
+        return step(count, new Resources(1_000, 1_000, accelerators), 1_000, after, gang, sameRack, Sharing.NONE);
+    }
+
+    static StepSpecification step(
+            int count,
+            Resources resources,
+            long estimateMilliseconds,
+            List<Integer> after,
+            boolean gang,
+            boolean sameRack,
+            Sharing sharing) {
         return new StepSpecification(
                 count,
-                new Resources(1_000, 1_000, accelerators),
-                1_000,
+                resources,
+                estimateMilliseconds,
                 after,
                 false,
                 gang,
@@ -172,10 +183,15 @@
                 "",
                 "",
                 0,
-                false,
-                false,
-                0,
-                0);
+                sharing.longRunning(),
+                sharing.fills(),
+                sharing.latencyTargetMilliseconds(),
+                sharing.mayMiss());
+    }
+
+    /** How the tasks of a step share servers and time with others. Immutable. */
+    record Sharing(boolean longRunning, boolean fills, long latencyTargetMilliseconds, int mayMiss) {
+        static final Sharing NONE = new Sharing(false, false, 0, 0);
     }
 
     @Override
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/SharedServersTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/SharedServersTest.java
@@ -15,39 +15,25 @@
     private final PlacerScenario scenario = new PlacerScenario();
 
     private static StepSpecification serving(int count, int accelerators, int mayMiss) {
-        return new StepSpecification(
+        return PlacerScenario.step(
                 count,
                 new Resources(1_000, 1_000, accelerators),
                 1_000,
                 List.of(),
                 false,
                 false,
-                false,
-                "",
-                "",
-                0,
-                true,
-                false,
-                TARGET_MILLISECONDS,
-                mayMiss);
+                new PlacerScenario.Sharing(true, false, TARGET_MILLISECONDS, mayMiss));
     }
 
     private static StepSpecification filling(int count) {
-        return new StepSpecification(
+        return PlacerScenario.step(
                 count,
                 new Resources(8_000, 1_000, 0),
                 1_000,
                 List.of(),
                 false,
                 false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                true,
-                0,
-                0);
+                new PlacerScenario.Sharing(false, true, 0, 0));
     }
 
     private FakeServer servingServer(String id) {
@@ -56,6 +42,15 @@
         return server;
     }
 
+    /** One server with a serving task of the given latency in milliseconds and a filling task, both just submitted. */
+    private FakeServer serverWithFillingBesideServing(int latency) {
+        FakeServer server = servingServer("s1");
+        scenario.submit("serving", "normal", serving(1, 1, 0));
+        scenario.submit("filling", "batch", filling(1));
+        server.loads.put("serving.0.0.0", latency);
+        return server;
+    }
+
     @Test
     void filling_work_prefers_servers_without_serving_work() {
         FakeServer first = servingServer("s1");
@@ -80,10 +75,7 @@
 
     @Test
     void filling_work_is_slowed_until_the_serving_task_is_under_its_target() {
-        FakeServer server = servingServer("s1");
-        scenario.submit("serving", "normal", serving(1, 1, 0));
-        scenario.submit("filling", "batch", filling(1));
-        server.loads.put("serving.0.0.0", 50);
+        FakeServer server = serverWithFillingBesideServing(50);
         scenario.run(1_500);
         assertThat(server.paces.get("filling.0.0.0")).isAtMost(40);
         server.loads.put("serving.0.0.0", 150);
@@ -96,10 +88,7 @@
 
     @Test
     void filling_work_is_at_full_pace_again_when_the_serving_task_has_gone() {
-        FakeServer server = servingServer("s1");
-        scenario.submit("serving", "normal", serving(1, 1, 0));
-        scenario.submit("filling", "batch", filling(1));
-        server.loads.put("serving.0.0.0", 150);
+        FakeServer server = serverWithFillingBesideServing(150);
         scenario.run(4_000);
         scenario.placer.jobCancelled("serving", scenario.now);
         scenario.run(2_000);
@@ -108,10 +97,7 @@
 
     @Test
     void a_successor_sets_the_pace_that_it_cannot_know() {
-        FakeServer server = servingServer("s1");
-        scenario.submit("serving", "normal", serving(1, 1, 0));
-        scenario.submit("filling", "batch", filling(1));
-        server.loads.put("serving.0.0.0", 50);
+        FakeServer server = serverWithFillingBesideServing(50);
         scenario.run(3_000);
         server.paces.put("filling.0.0.0", 0);
         scenario.elect();
