Decide preemption after a takeover on the progress of the runs taken over

Cause: a new placer does not know when the runs that it takes over began and counted each of them as just started, so that preemption chose the most advanced runs and found every plan cheap enough to carry out at once, even before idle backend servers had reported. Change: the reported progress times the estimate counts as earlier work, and nothing is preempted during the first report interval after the first pass.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -50,6 +50,7 @@
     private final long wallMilliseconds;
     private final FreeCapacity freeCapacity;
     private final UrgentReserve reserve;
+    private final boolean mayPreempt;
 
     /** Receiver of the decisions of a pass. */
     interface Actions {
@@ -70,6 +71,7 @@
             WorkloadConfiguration configuration,
             UrgentReserve reserve,
             Actions actions,
+            boolean mayPreempt,
             long stopMilliseconds,
             long now,
             long wallMilliseconds) {
@@ -78,6 +80,7 @@
         this.configuration = configuration;
         this.entitlements = new Entitlements(openJobs, configuration);
         this.actions = actions;
+        this.mayPreempt = mayPreempt;
         this.stopMilliseconds = stopMilliseconds;
         this.now = now;
         this.wallMilliseconds = wallMilliseconds;
@@ -134,7 +137,7 @@
             step.reservation = CapacityReservation.NONE;
         } else {
             candidate.queue().advice().ifPresent(settings -> requestAdvice(candidate, step, settings));
-            if (candidate.queue().priority() == 0) {
+            if (mayPreempt && candidate.queue().priority() == 0) {
                 preemptRuns(candidate, step);
             }
         }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
@@ -92,6 +92,9 @@
             run.percent = task.percent();
             run.progressAt = now;
         }
+        if (run.state == RunState.RECOVERED) {
+            run.estimateEarlierWork();
+        }
         if (run.state == RunState.ORDERED || run.state == RunState.RECOVERED) {
             run.state = RunState.RUNNING;
             run.progressAt = now;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -30,6 +30,10 @@
     long confirmedOperation = -1;
 
     long startedAt;
+
+    /** Estimated run time before this placer took the run over, in milliseconds; 0 if this placer started it. */
+    private long earlierMilliseconds;
+
     int percent;
 
     /**
@@ -80,10 +84,19 @@
         return step.specification.reserved();
     }
 
+    /**
+     * Estimates from the reported progress for how long the run was active under earlier placers, whose start times are
+     * not stored. Without the estimate every run would appear to have just started, and preemption would discard the
+     * most advanced ones.
+     */
+    void estimateEarlierWork() {
+        earlierMilliseconds = step.specification.estimateMilliseconds() * percent / COMPLETE_PERCENT;
+    }
+
     /** Returns the work that a stop would lose, in core-seconds; an accelerator counts as eight cores. */
     double lossIfStopped(long now) {
         double cores = step.specification.resources().equivalentCores();
-        double seconds = (now - startedAt) / MILLISECONDS_PER_SECOND;
+        double seconds = (earlierMilliseconds + now - startedAt) / MILLISECONDS_PER_SECOND;
         return cores * (step.specification.checkpointing() ? Math.min(seconds, 1) : seconds);
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -55,6 +55,12 @@
      */
     private static final long CHECK_INTERVAL_MILLISECONDS = 100;
 
+    /**
+     * Time after the first pass during which nothing is preempted: one report interval, in which the agents of all
+     * backend servers connect. Until then free servers are unknown.
+     */
+    private static final long SETTLING_MILLISECONDS = WorkloadTimings.REPORT_INTERVAL_MILLISECONDS;
+
     /** Pairs of an open job and a server that a pass examines per millisecond on a small processor. */
     private static final long PAIRS_PER_MILLISECOND = 100;
 
@@ -83,6 +89,9 @@
     private long passes;
     private long lastCheckAt;
 
+    /** Time of the first pass, in milliseconds; negative before it. */
+    private long firstPassAt = -1;
+
     /**
      * Creates the placer of a new term.
      *
@@ -363,6 +372,7 @@
 
     private void pass(long now) {
         lastPassAt = now;
+        firstPassAt = firstPassAt < 0 ? now : firstPassAt;
         passes++;
         lifecycle.takeChanged();
         List<JobState> open = openJobs().toList();
@@ -374,6 +384,7 @@
                         configuration,
                         reserve,
                         new PassActions(now),
+                        now - firstPassAt >= SETTLING_MILLISECONDS,
                         timings.stopTimeoutMilliseconds(),
                         now,
                         effects.wallMilliseconds())
