Store changed checkpoints every two seconds

Cause: a checkpoint that a run reported was kept in the memory of the placer until the next change of its job. When all VMs lost power, the work since then was done again although the backend servers had saved it. Test: WorkPlacerTest.a_checkpoint_survives_the_loss_of_power_on_all_vms, failed before (started again without a checkpoint).

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
@@ -26,6 +26,9 @@
     /** Reservation of capacity that is being freed for this step. */
     CapacityReservation reservation = CapacityReservation.NONE;
 
+    /** Whether a checkpoint has changed since the record of the step was last encoded. */
+    boolean hasUnstoredCheckpoint;
+
     /** Time since which tasks of the step are ready and not placed, in milliseconds; 0 if there are none. */
     long readySince;
 
@@ -88,11 +91,12 @@
                 .orElse("");
     }
 
-    /** Saves a checkpoint that a run reported. */
+    /** Saves a checkpoint that a run reported; it is in memory only until the next write of the job. */
     void saveCheckpoint(TaskState task, String checkpoint) {
-        if (checkpoint.isEmpty()) {
+        if (checkpoint.isEmpty() || checkpoint.equals(task.checkpoint)) {
             return;
         }
+        hasUnstoredCheckpoint = true;
         if (gang()) {
             tasks.forEach(member -> member.checkpoint = checkpoint);
         } else {
@@ -101,6 +105,7 @@
     }
 
     StepRecord toRecord() {
+        hasUnstoredCheckpoint = false;
         return new StepRecord(
                 occurrence, number, tasks.stream().map(TaskState::toRecord).toList());
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -61,6 +61,12 @@
      */
     private static final long SETTLING_MILLISECONDS = WorkloadTimings.REPORT_INTERVAL_MILLISECONDS;
 
+    /**
+     * Interval at which changed checkpoints are stored. Agents report the checkpoints of active runs to a new placer,
+     * but after a loss of power on all VMs only stored ones remain.
+     */
+    private static final long CHECKPOINT_INTERVAL_MILLISECONDS = 2_000;
+
     /** Pairs of an open job and a server that a pass examines per millisecond on a small processor. */
     private static final long PAIRS_PER_MILLISECOND = 100;
 
@@ -88,6 +94,7 @@
     private long minimumPassIntervalMilliseconds;
     private long passes;
     private long lastCheckAt;
+    private long checkpointsStoredAt;
 
     /** Time of the first pass, in milliseconds; negative before it. */
     private long firstPassAt = -1;
@@ -367,6 +374,12 @@
                 .toList()
                 .forEach(server -> loseServer(server, "no contact with its agent", now));
         supervision.check(now);
+        if (now - checkpointsStoredAt >= CHECKPOINT_INTERVAL_MILLISECONDS) {
+            checkpointsStoredAt = now;
+            openJobs()
+                    .filter(job -> job.steps.stream().anyMatch(step -> step.hasUnstoredCheckpoint))
+                    .forEach(writes::markChanged);
+        }
         retention.check(now);
     }
 
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -62,6 +62,9 @@
     /** Time between a stop order and the end of the run. */
     long stopMilliseconds = 200;
 
+    /** Whether tasks write checkpoints, whose text is the progress in percent. */
+    boolean checkpoints;
+
     /** Whether runs make no progress. */
     boolean stalled;
 
@@ -258,7 +261,7 @@
                     return new RunningTask(
                             run.getKey().substring(0, split),
                             Integer.parseInt(run.getKey().substring(split + 1)),
-                            "",
+                            checkpoints ? "at" + percent : "",
                             percent,
                             loads.getOrDefault(run.getKey().substring(0, split), 0));
                 })
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -55,6 +55,24 @@
         assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
     }
 
+    @Test
+    void a_checkpoint_survives_the_loss_of_power_on_all_vms() {
+        FakeServer lost = scenario.server("s1", "vm", "r1");
+        lost.checkpoints = true;
+        scenario.workMilliseconds.put("job.0.0.0", 20_000L);
+        scenario.submit("job", "normal", PlacerScenario.step(1, 1));
+        scenario.run(10_000);
+        lost.connected = false;
+        scenario.servers.clear();
+        FakeServer restarted = scenario.server("s2", "vm", "r1");
+        scenario.elect();
+        scenario.run(1_000);
+        assertThat(restarted.starts).hasSize(1);
+        assertThat(Integer.parseInt(
+                        restarted.starts.getFirst().checkpoint().substring("at".length())))
+                .isAtLeast(35);
+    }
+
     @Test
     void a_new_placer_takes_over_active_runs() {
         scenario.server("s1", "r1");
