Preempt for urgent jobs by their objective and by learned run times

Cause: every urgent step waited 600 ms before a costly preemption, whatever time its objective left, and the limit on the loss was the same for steps that were on time and for steps that were late, measured against estimates that submitters of urgent jobs get wrong by a factor of two and more. Change: PreemptionLimits, code of its own: patience of half the slack, at most 1 s; a loss of up to twice the step's own work while it can meet its objective, up to half of it afterwards; guaranteed steps as before. RunTimes corrects the estimate by the average of the queue.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.message.WorkMessage.EndKind;
 import org.teaselwood.protocol.message.WorkMessage.EndedTask;
 import org.teaselwood.workload.model.TaskName;
 
@@ -20,8 +21,10 @@
     private final Map<String, JobState> jobs;
     private final JobWrites writes;
     private final RunLifecycle lifecycle;
+    private final RunTimes runTimes;
 
-    EndedTaskHandler(Map<String, JobState> jobs, JobWrites writes, RunLifecycle lifecycle) {
+    EndedTaskHandler(Map<String, JobState> jobs, JobWrites writes, RunLifecycle lifecycle, RunTimes runTimes) {
+        this.runTimes = runTimes;
         this.jobs = jobs;
         this.writes = writes;
         this.lifecycle = lifecycle;
@@ -47,6 +50,9 @@
                 server.id);
         lifecycle.markChanged();
         Run run = server.runs.remove(Run.key(ended.task(), ended.attempt()));
+        if (run != null && run.ranWhole() && ended.kind() == EndKind.DONE) {
+            runTimes.completed(job.specification.queue(), now - run.startedAt);
+        }
         if (run != null && task.run == run) {
             task.run = null;
         }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -18,25 +18,12 @@
  * smaller jobs would take each part of it as soon as it is freed.
  */
 final class PlacementPass {
-    /**
-     * Delay before an urgent step preempts runs that would lose much work; capacity may become free without
-     * preemption in the meantime. The objective of urgent jobs allows a delay of half their run time, which for most
-     * jobs is longer than this.
-     */
-    private static final long PREEMPTION_DELAY_MILLISECONDS = 600;
-
     /**
      * Longest time for which a step of lower priority is kept out of the urgent reserve; a fraction of the slack
      * in its own objective.
      */
     private static final long MAXIMUM_RESERVE_EXCLUSION_MILLISECONDS = 5_000;
 
-    /** Lost work, as a share of the urgent step's own work, up to which runs are preempted without delay. */
-    private static final double IMMEDIATE_LOSS_RATIO = 0.1;
-
-    /** Maximum lost work, as a share of the step's own work, that a job outside its team's guarantee may cause. */
-    private static final double MAXIMUM_LOSS_RATIO = 1.0;
-
     /** Weight of work lost by urgent runs: a preempted urgent job is late and preempts others in turn. */
     private static final double URGENT_LOSS_WEIGHT = 4.0;
 
@@ -45,7 +32,7 @@
     private final WorkloadConfiguration configuration;
     private final Entitlements entitlements;
     private final Actions actions;
-    private final long stopMilliseconds;
+    private final PreemptionLimits preemptionLimits;
     private final long now;
     private final long wallMilliseconds;
     private final FreeCapacity freeCapacity;
@@ -72,7 +59,7 @@
             UrgentReserve reserve,
             Actions actions,
             boolean mayPreempt,
-            long stopMilliseconds,
+            PreemptionLimits preemptionLimits,
             long now,
             long wallMilliseconds) {
         this.openJobs = openJobs;
@@ -81,7 +68,7 @@
         this.entitlements = new Entitlements(openJobs, configuration);
         this.actions = actions;
         this.mayPreempt = mayPreempt;
-        this.stopMilliseconds = stopMilliseconds;
+        this.preemptionLimits = preemptionLimits;
         this.now = now;
         this.wallMilliseconds = wallMilliseconds;
         this.freeCapacity = new FreeCapacity(servers, now);
@@ -209,22 +196,16 @@
         }
         if (step.reservation == CapacityReservation.NONE) {
             findPreemptionPlan(candidate, step)
-                    .filter(plan -> isJustified(candidate, step, plan))
+                    .filter(plan -> preemptionLimits.allows(
+                            step, candidate.queue(), plan.loss(), now - step.readySince, candidate.entitled()))
                     .ifPresent(plan -> {
                         plan.victims().forEach(run -> actions.preempt(run, candidate.job()));
-                        step.reservation = CapacityReservation.of(plan, stopMilliseconds, now);
+                        step.reservation = CapacityReservation.of(plan, preemptionLimits.stopMilliseconds(), now);
                     });
         }
         step.reservation.reserve(freeCapacity, servers);
     }
 
-    private boolean isJustified(Candidate candidate, StepState step, Preemption.Plan plan) {
-        double loss = plan.loss() / Math.max(1, step.estimatedWork());
-        return loss <= IMMEDIATE_LOSS_RATIO
-                || now - step.readySince >= PREEMPTION_DELAY_MILLISECONDS
-                        && (candidate.entitled() || loss <= MAXIMUM_LOSS_RATIO);
-    }
-
     private double lossOf(Run run) {
         return run.lossIfStopped(now) * (entitlements.isUrgent(run.job) ? URGENT_LOSS_WEIGHT : 1);
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -35,6 +35,8 @@
     private long earlierMilliseconds;
 
     int percent;
+    private final boolean createdUnderThisPlacer;
+    private final boolean startedWithoutCheckpoint;
 
     /**
      * Load in the newest report: tail latency in milliseconds of a latency-sensitive task, processor use in
@@ -60,6 +62,8 @@
         this.createdAt = now;
         this.startedAt = now;
         this.progressAt = now;
+        this.createdUnderThisPlacer = state != RunState.RECOVERED;
+        this.startedWithoutCheckpoint = step.checkpointFor(task).isEmpty();
         this.pace = state == RunState.RECOVERED ? -1 : Pacing.FULL_PERCENT;
     }
 
@@ -84,6 +88,11 @@
         return step.specification.reserved();
     }
 
+    /** Returns whether the run began at the start of its task and under this placer, so that its age is its run time. */
+    boolean ranWhole() {
+        return createdUnderThisPlacer && startedWithoutCheckpoint;
+    }
+
     /**
      * Estimates from the reported progress for how long the run was active under earlier placers, whose start times are
      * not stored. Without the estimate every run would appear to have just started, and preemption would discard the
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
@@ -47,14 +47,6 @@
         return job + "." + occurrence + "." + number;
     }
 
-    /** Returns the work of the waiting tasks by the submitter's estimate, in core-seconds. */
-    double estimatedWork() {
-        return tasks.stream().filter(TaskState::isWaiting).count()
-                * specification.resources().equivalentCores()
-                * specification.estimateMilliseconds()
-                / 1_000.0;
-    }
-
     /** Returns the current runs of the step's tasks. */
     Stream<Run> runs() {
         return tasks.stream().filter(task -> task.run != null).map(task -> task.run);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -87,6 +87,7 @@
     /** Newest server incarnation by VM; a lookup here avoids a search of all servers for most reports. */
     private final Map<String, ServerState> newestIncarnations = new HashMap<>();
 
+    private final RunTimes runTimes = new RunTimes();
     private final UrgentReserve reserve = new UrgentReserve();
     private WorkloadConfiguration configuration;
     private long pendingPublishedAt;
@@ -112,7 +113,7 @@
         this.effects = effects;
         this.writes = new JobWrites(effects);
         this.lifecycle = new RunLifecycle(term, writes, effects);
-        this.endedTasks = new EndedTaskHandler(jobs, writes, lifecycle);
+        this.endedTasks = new EndedTaskHandler(jobs, writes, lifecycle, runTimes);
         this.restoration = new JobRestoration(servers);
         this.supervision = new RunSupervision(servers, lifecycle, timings);
         this.reconciliation = new Reconciliation(jobs, lifecycle);
@@ -398,7 +399,7 @@
                         reserve,
                         new PassActions(now),
                         now - firstPassAt >= SETTLING_MILLISECONDS,
-                        timings.stopTimeoutMilliseconds(),
+                        new PreemptionLimits(runTimes, timings.stopTimeoutMilliseconds()),
                         now,
                         effects.wallMilliseconds())
                 .run();
