--- /dev/null
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/ServerTroubleTest.java
@@ -0,0 +1,100 @@
+package org.teaselwood.workload.placer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.teaselwood.protocol.message.WorkMessage.EndKind;
+import org.teaselwood.workload.record.JobPhase;
+
+/**
+ * Guards what callers are promised while backend servers misbehave: jobs that can be done are completed, a task runs
+ * once at a time, and a finished task is not run again.
+ */
+final class ServerTroubleTest {
+    private static final long TASK_MILLISECONDS = 2_000;
+
+    private final PlacerScenario scenario = new PlacerScenario();
+
+    private void submit(String job, int tasks) {
+        IntStream.range(0, tasks)
+                .forEach(index -> scenario.workMilliseconds.put(job + ".0.0." + index, TASK_MILLISECONDS));
+        scenario.submit(job, "normal", PlacerScenario.step(tasks, 2));
+    }
+
+    @Test
+    void a_server_that_reports_good_health_and_fails_everything_does_not_fail_jobs_that_can_run_elsewhere() {
+        scenario.server("s1", "r1").endKind = EndKind.FAILED;
+        scenario.server("s2", "r1");
+        List<String> jobs = IntStream.range(0, 6).mapToObj(job -> "job" + job).toList();
+        jobs.forEach(job -> submit(job, 1));
+        scenario.run(30_000);
+        jobs.forEach(job -> assertThat(scenario.phase(job)).isEqualTo(JobPhase.COMPLETED));
+    }
+
+    @Test
+    void a_task_on_a_server_that_goes_down_and_up_by_turns_is_completed_elsewhere_and_runs_once_at_a_time() {
+        FakeServer flapping = scenario.server("flapping-0", "vm", "r1");
+        submit("job", 1);
+        scenario.run(300);
+        FakeServer steady = scenario.server("steady", "vm2", "r1");
+        for (int life = 1; life <= 4; life++) {
+            flapping.connected = false;
+            flapping.running.clear();
+            scenario.servers.remove(flapping.description.server());
+            flapping = scenario.server("flapping-" + life, "vm", "r1");
+            scenario.run(700);
+            assertThat(scenario.runningTasks()).isAtMost(1);
+        }
+        scenario.run(4_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(steady.acknowledgedSuccesses.size() + flapping.acknowledgedSuccesses.size())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void a_task_whose_start_was_carried_out_without_an_answer_runs_once() {
+        scenario.server("s1", "r1").answersOrders = false;
+        scenario.server("s2", "r1").answersOrders = false;
+        submit("job", 2);
+        scenario.run(6_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(scenario.starts("job.0.0.0")).isEqualTo(1);
+        assertThat(scenario.starts("job.0.0.1")).isEqualTo(1);
+    }
+
+    @Test
+    void a_task_of_a_server_that_is_taken_away_at_short_notice_is_run_once_more_elsewhere() {
+        FakeServer leaving = scenario.server("s1", "r1");
+        submit("job", 1);
+        scenario.run(300);
+        FakeServer staying = scenario.server("s2", "r1");
+        leaving.draining = true;
+        scenario.run(1_000);
+        submit("late", 1);
+        scenario.run(100);
+        assertThat(leaving.starts).hasSize(1);
+        leaving.running.clear();
+        scenario.placer.serverLeft("s1", leaving.description.incarnation(), scenario.now);
+        scenario.servers.remove("s1");
+        scenario.run(4_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(scenario.phase("late")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(staying.starts).hasSize(2);
+    }
+
+    @Test
+    void a_job_that_can_never_be_done_fails_after_its_attempts_and_does_not_keep_others_from_running() {
+        FakeServer failing = scenario.server("s1", "r1");
+        failing.endKind = EndKind.FAILED;
+        submit("hopeless", 1);
+        scenario.run(8_000);
+        failing.endKind = EndKind.DONE;
+        submit("sound", 1);
+        scenario.run(12_000);
+        assertThat(scenario.phase("hopeless")).isEqualTo(JobPhase.FAILED);
+        assertThat(scenario.starts("hopeless.0.0.0")).isEqualTo(3);
+        assertThat(scenario.phase("sound")).isEqualTo(JobPhase.COMPLETED);
+    }
+}
