--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PreemptionLimits.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PreemptionLimits.java
@@ -44,8 +44,7 @@
      * @param waitedMilliseconds time for which the step has been ready
      * @param entitled whether the job is within its team's guarantee
      */
-    boolean allows(
-            StepState step, QueueSettings queue, double lostWork, long waitedMilliseconds, boolean entitled) {
+    boolean allows(StepState step, QueueSettings queue, double lostWork, long waitedMilliseconds, boolean entitled) {
         double expected = expectedMilliseconds(step, queue);
         double loss = lostWork / Math.max(1, work(step, expected));
         if (loss <= IMMEDIATE_LOSS_RATIO) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -88,7 +88,7 @@
         return step.specification.reserved();
     }
 
-    /** Returns whether the run began at the start of its task and under this placer, so that its age is its run time. */
+    /** Returns whether the run began without a checkpoint and under this placer, so that its age is its run time. */
     boolean ranWhole() {
         return createdUnderThisPlacer && startedWithoutCheckpoint;
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -61,12 +61,6 @@
      */
     private static final long SETTLING_MILLISECONDS = WorkloadTimings.REPORT_INTERVAL_MILLISECONDS;
 
-    /**
-     * Interval at which changed checkpoints are stored. Agents report the checkpoints of active runs to a new placer,
-     * but after a loss of power on all VMs only stored ones remain.
-     */
-    private static final long CHECKPOINT_INTERVAL_MILLISECONDS = 2_000;
-
     /** Pairs of an open job and a server that a pass examines per millisecond on a small processor. */
     private static final long PAIRS_PER_MILLISECOND = 100;
 
@@ -80,6 +74,7 @@
     private final RunSupervision supervision;
     private final Reconciliation reconciliation;
     private final Pacing pacing;
+    private final CheckpointWrites checkpointWrites;
     private final Retention retention;
     private final AdviceRequests advice;
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
@@ -95,7 +90,6 @@
     private long minimumPassIntervalMilliseconds;
     private long passes;
     private long lastCheckAt;
-    private long checkpointsStoredAt;
 
     /** Time of the first pass, in milliseconds; negative before it. */
     private long firstPassAt = -1;
@@ -118,6 +112,7 @@
         this.supervision = new RunSupervision(servers, lifecycle, timings);
         this.reconciliation = new Reconciliation(jobs, lifecycle);
         this.pacing = new Pacing(lifecycle);
+        this.checkpointWrites = new CheckpointWrites(jobs, writes);
         this.retention = new Retention(jobs, timings, effects);
         this.advice = new AdviceRequests(effects);
     }
@@ -375,12 +370,7 @@
                 .toList()
                 .forEach(server -> loseServer(server, "no contact with its agent", now));
         supervision.check(now);
-        if (now - checkpointsStoredAt >= CHECKPOINT_INTERVAL_MILLISECONDS) {
-            checkpointsStoredAt = now;
-            openJobs()
-                    .filter(job -> job.steps.stream().anyMatch(step -> step.hasUnstoredCheckpoint))
-                    .forEach(writes::markChanged);
-        }
+        checkpointWrites.check(now);
         retention.check(now);
     }
 
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/TakeoverPreemptionTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/TakeoverPreemptionTest.java
@@ -53,8 +53,7 @@
         run("advanced");
         scenario.run(12_000);
         scenario.elect();
-        scenario.submit(
-                new JobSpecification("urgent", "urgent", "other", "payload", List.of(urgentStep()), 0, 0, 0));
+        scenario.submit(new JobSpecification("urgent", "urgent", "other", "payload", List.of(urgentStep()), 0, 0, 0));
         scenario.run(3_000);
         assertThat(scenario.servers.get("s1").stopped).isEmpty();
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/UrgentLoadTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/UrgentLoadTest.java
@@ -54,8 +54,8 @@
         for (int index = 0; index < tasks; index++) {
             scenario.workMilliseconds.put(id + ".0.0." + index, 8_000L + random.nextInt(4_000));
         }
-        scenario.submit(new JobSpecification(
-                id, "batch", "other", "payload", List.of(step(tasks, 1, 10_000, false)), 0, 0, 0));
+        scenario.submit(
+                new JobSpecification(id, "batch", "other", "payload", List.of(step(tasks, 1, 10_000, false)), 0, 0, 0));
     }
 
     private void submitUrgent(int number, Random random) {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -68,8 +68,7 @@
         scenario.elect();
         scenario.run(1_000);
         assertThat(restarted.starts).hasSize(1);
-        assertThat(Integer.parseInt(
-                        restarted.starts.getFirst().checkpoint().substring("at".length())))
+        assertThat(Integer.parseInt(restarted.starts.getFirst().checkpoint().substring("at".length())))
                 .isAtLeast(35);
     }
 
