--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CheckpointWrites.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CheckpointWrites.java
@@ -5,8 +5,8 @@
 /**
  * Stores changed checkpoints at intervals. Mutable; confined to the placer's duty thread.
  *
- * <p>Agents report the checkpoints of active runs to a new placer, but after a loss of power on all VMs only stored ones
- * remain. A write for each checkpoint would cost a transaction per task and second.
+ * <p>Agents report the checkpoints of active runs to a new placer, but after a loss of power on all VMs only stored
+ * ones remain. A write for each checkpoint would cost a transaction per task and second.
  */
 final class CheckpointWrites {
     private static final long INTERVAL_MILLISECONDS = 2_000;
