--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/WorkPlacerTest.java
@@ -158,7 +158,7 @@
     }
 
     @Test
-    void an_urgent_job_without_a_guarantee_does_not_discard_more_work_than_its_own() {
+    void an_urgent_job_without_a_guarantee_does_not_discard_many_times_its_own_work() {
         scenario.server("s1", "r1");
         scenario.workMilliseconds.put("low.0.0.0", 20_000L);
         scenario.submit("low", "batch", PlacerScenario.step(1, 8));
