--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/StepSpecification.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/StepSpecification.java
@@ -7,8 +7,8 @@
  *
  * @param count number of tasks
  * @param resources resources that each task requires
- * @param estimateMilliseconds the submitter's estimate of a task's run time; used only to compare the work of a step
- *     with the work that a preemption for it would lose
+ * @param estimateMilliseconds the submitter's estimate of a task's run time, which may be wrong by a factor of two and
+ *     more; used only for decisions on preemption
  * @param dependencies numbers of the steps that must be completed first
  * @param checkpointing whether a task saves checkpoints of its progress
  * @param gang whether the tasks make progress only while all of them run
