Answer 504 when a stored job with the same identifier cannot be read

A client whose first attempt had stored the job, but ended without an answer, could get 503 for its second attempt ("the job cannot be stored now") although the job was stored and ran.

The cause: the condition of the write fails because the job exists, and the read of the stored job is then refused by the store (429 or 503) until the time limit. The refusal of the read was taken for a refusal of the write.

The test, with a store that has the job and refuses its read, failed before with "expected: 504 but was: 503" and passes now, as a failure of this read counts as an unknown outcome. The other tests of JobApiServerTest (malformed targets and hosts are answered, a closed connection ends its open request) passed before too: these paths were suspected and are ruled out.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobService.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobService.java
@@ -122,12 +122,18 @@
                 });
     }
 
-    /** Returns the outcome if the identifier already exists: a repeated submission, or an identifier in use. */
+    /**
+     * Returns the outcome if the identifier already exists: a repeated submission, or an identifier in use. The outcome
+     * is unknown if the stored job cannot be read, even if the store refuses the read.
+     */
     private Uni<Submission> outcomeForExistingJob(JobSpecification job) {
         return store.get(WorkloadKeys.accepted(job.id()))
                 .map(item -> teamOf(job.id(), item.orElseThrow()).equals(job.team())
                         ? Submission.ACCEPTED
-                        : Submission.IDENTIFIER_IN_USE);
+                        : Submission.IDENTIFIER_IN_USE)
+                .onFailure()
+                .transform(failure -> TeaselwoodException.causedBy(
+                        failure, ErrorKind.STORE_UNAVAILABLE, "stored job not read: " + failure.getMessage()));
     }
 
     private static String teamOf(String job, KeyValue accepted) {
