Repeat orders that stay unconfirmed on a connection that remains open

Callers saw an accepted task that could run and did not: its run stayed ORDERED or STOPPING for ever, held its resources, and the task was never placed again.

Cause: an order was repeated only once after a change of the agent's connection. A placer ignores messages of agents while its election is not renewed in time, and a full ring buffer drops them. The agent reconnects only after 1.5 s without an answer, so an answer that is lost in between is lost for good. For a refused start, and for the stop of a run that never began, no later report contains anything that would settle the state.

Fix: a report that leaves an order unconfirmed for a second has it repeated. The agent ignores duplicates of an order that it is still carrying out.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
@@ -23,6 +23,9 @@
 final class Reconciliation {
     private static final Logger LOGGER = LoggerFactory.getLogger(Reconciliation.class);
 
+    /** Time for which an order stays unconfirmed before it is repeated; agents and servers ignore duplicates. */
+    private static final long ORDER_REPEAT_INTERVAL_MILLISECONDS = 1_000;
+
     private final Map<String, JobState> jobs;
     private final RunLifecycle lifecycle;
 
@@ -105,19 +108,35 @@
         }
     }
 
-    /** Repeats orders that an earlier connection may have lost, once after each change of the connection. */
-    void repeatOrders(ServerState server) {
-        if (!server.ordersMayBeLost) {
-            return;
-        }
+    /**
+     * Repeats orders whose answers may be lost: all orders after a change of the connection, and orders that stay
+     * unconfirmed on the same connection, because this placer ignores answers while its election is not renewed.
+     */
+    void repeatOrders(ServerState server, long now) {
+        boolean connectionChanged = server.ordersMayBeLost;
         server.ordersMayBeLost = false;
-        server.runs.values().forEach(run -> {
-            if (run.state == RunState.ORDERED) {
-                lifecycle.sendStart(run);
-            } else if (run.state == RunState.STOPPING) {
-                run.confirmedOperation = -1;
-                lifecycle.sendStop(server, run.task.name.toString(), run.attempt);
-            }
-        });
+        server.runs.values().stream()
+                .filter(run -> connectionChanged || isOverdue(run, now))
+                .forEach(run -> repeatOrder(run, now));
+    }
+
+    private static boolean isOverdue(Run run, long now) {
+        if (!run.awaitsConfirmation()) {
+            return false;
+        }
+        if (run.unconfirmedSince == 0) {
+            run.unconfirmedSince = now;
+        }
+        return now - run.unconfirmedSince >= ORDER_REPEAT_INTERVAL_MILLISECONDS;
+    }
+
+    private void repeatOrder(Run run, long now) {
+        run.unconfirmedSince = now;
+        if (run.state == RunState.ORDERED) {
+            lifecycle.sendStart(run);
+        } else if (run.state == RunState.STOPPING) {
+            run.confirmedOperation = -1;
+            lifecycle.sendStop(run.server, run.task.name.toString(), run.attempt);
+        }
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -29,6 +29,9 @@
      */
     long confirmedOperation = -1;
 
+    /** Time at which a report first left the last order unconfirmed, in milliseconds; 0 if none did. */
+    long unconfirmedSince;
+
     long startedAt;
 
     /** Estimated run time before this placer took the run over, in milliseconds; 0 if this placer started it. */
@@ -75,6 +78,11 @@
         return task + "#" + attempt;
     }
 
+    /** Returns whether an order was sent and its answer has not arrived. */
+    boolean awaitsConfirmation() {
+        return state == RunState.ORDERED || state == RunState.STOPPING && confirmedOperation < 0;
+    }
+
     /** Returns whether a long-running task has completed its start-up. */
     boolean isReady() {
         return state == RunState.RUNNING && isComplete();
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
@@ -95,6 +95,7 @@
             case ORDERED, RECOVERED, RUNNING -> {
                 run.state = RunState.STOPPING;
                 run.confirmedOperation = -1;
+                run.unconfirmedSince = 0;
                 sendStop(run.server, run.task.name.toString(), run.attempt);
                 stopGang(run.step, now);
             }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -202,7 +202,7 @@
                     .forEach(ended -> endedTasks.handle(server, ended, now));
             reconciliation.reconcile(server, report, now);
             pacing.adjust(server, now);
-            reconciliation.repeatOrders(server);
+            reconciliation.repeatOrders(server, now);
         }
         connection.send(new WorkMessage.Contact(
                 term, report.sentMilliseconds(), server.id, server.incarnation, server.lastAcknowledgedEnd));
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -38,6 +38,12 @@
     /** Whether orders are answered; an unanswered start takes effect all the same. */
     boolean answersOrders = true;
 
+    /** Whether the placer receives the answers to orders. */
+    boolean deliversAnswers = true;
+
+    /** Number of further starts that are refused for lack of room. */
+    int refusesStarts;
+
     /** How the runs of this server end. */
     EndKind endKind = EndKind.DONE;
 
@@ -177,7 +183,11 @@
         messages.forEach(message -> {
             switch (message) {
                 case WorkMessage.ServerReport report -> placer.reportReceived(connection, report, now);
-                case WorkMessage.OrderResult result -> placer.orderAnswered(connection, result, now);
+                case WorkMessage.OrderResult result -> {
+                    if (deliversAnswers) {
+                        placer.orderAnswered(connection, result, now);
+                    }
+                }
                 default -> throw new AssertionError(message);
             }
         });
@@ -292,6 +302,11 @@
             answer(order.task(), order.attempt(), OrderOutcome.SUPERSEDED);
             return;
         }
+        if (refusesStarts > 0) {
+            refusesStarts--;
+            answer(order.task(), order.attempt(), OrderOutcome.NO_ROOM);
+            return;
+        }
         if (refusesTickets > 0) {
             refusesTickets--;
             answer(order.task(), order.attempt(), OrderOutcome.NO_TICKET);
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
@@ -56,6 +56,7 @@
         }
         scenario.storeAvailable = true;
         scenario.losesWriteAnswers = false;
+        scenario.servers.values().forEach(server -> server.deliversAnswers = true);
         disconnectedSince.keySet().stream().toList().forEach(this::reconnect);
         for (int step = 0; step < 3_000; step++) {
             advance(seed);
@@ -91,6 +92,8 @@
             case 13 -> scenario.servers.get(server).endKind = random.nextBoolean() ? EndKind.FAILED : EndKind.DONE;
             case 14 -> electWithoutStore();
             case 18 -> scenario.losesWriteAnswers = true;
+            case 21 -> scenario.servers.get(server).refusesStarts = 1 + random.nextInt(3);
+            case 22 -> scenario.servers.get(server).deliversAnswers = random.nextInt(4) > 0;
             case 19, 20 -> scenario.losesWriteAnswers = false;
             case 6 -> scenario.writeLatencyMilliseconds = random.nextInt(300);
             case 15 -> scenario.servers.get(server).deliverLateReports(scenario.placer, scenario.now);
@@ -247,7 +250,11 @@
                 .map(TaskRecord::server);
         return Stream.concat(present, onRecord)
                 .anyMatch(server -> disconnectedSince.containsKey(server)
-                        || scenario.servers.containsKey(server) && !scenario.servers.get(server).answersOrders);
+                        || scenario.servers.containsKey(server) && losesAnswers(scenario.servers.get(server)));
+    }
+
+    private static boolean losesAnswers(FakeServer server) {
+        return !server.answersOrders || !server.deliversAnswers;
     }
 
     /**
