Log why a ready step is not placed

An accepted job that waits although the deployment is almost empty left no trace: a pass placed its tasks or silently went on. The possible causes (quarantine, urgent reserve, reservations, advice, members of a gang that have not ended, a queue that no configuration has) could not be told apart from the logs.

A step that has been ready for two seconds is now logged with the numbers that decide about it, and again every ten seconds. The numbers are computed only for a line that is due, and all steps together write at most five lines a second, so that a backlog of many steps costs almost nothing.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreeCapacity.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreeCapacity.java
@@ -51,6 +51,13 @@
                 .sum();
     }
 
+    /** Returns the number of usable servers of a service. */
+    long serverCount(String service) {
+        return free.keySet().stream()
+                .filter(server -> server.description.service().equals(service))
+                .count();
+    }
+
     void allocate(ServerState server, Resources resources) {
         free.computeIfPresent(server, (key, current) -> current.minus(resources));
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -37,6 +37,7 @@
     private final long wallMilliseconds;
     private final FreeCapacity freeCapacity;
     private final UrgentReserve reserve;
+    private final WaitingStepLog waitingStepLog;
     private final boolean mayPreempt;
 
     /** Receiver of the decisions of a pass. */
@@ -57,6 +58,7 @@
             Collection<ServerState> servers,
             WorkloadConfiguration configuration,
             UrgentReserve reserve,
+            WaitingStepLog waitingStepLog,
             Actions actions,
             boolean mayPreempt,
             PreemptionLimits preemptionLimits,
@@ -73,12 +75,16 @@
         this.wallMilliseconds = wallMilliseconds;
         this.freeCapacity = new FreeCapacity(servers, now);
         this.reserve = reserve;
+        this.waitingStepLog = waitingStepLog;
     }
 
     private record Candidate(JobState job, QueueSettings queue, boolean entitled) {}
 
     void run() {
         reserve.observe(entitlements.urgentAccelerators(), now);
+        openJobs.stream()
+                .filter(job -> configuration.queue(job.specification.queue()).isEmpty())
+                .forEach(job -> waitingStepLog.queueMissing(job, now));
         List<Candidate> candidates = candidates();
         candidates.stream().flatMap(candidate -> candidate.job().steps.stream()).forEach(step -> {
             if (!step.reservation.isActive(now)) {
@@ -123,6 +129,12 @@
         if (placed) {
             step.reservation = CapacityReservation.NONE;
         } else {
+            waitingStepLog.stepWaits(
+                    step,
+                    candidate.queue().service(),
+                    freeCapacity,
+                    isExcludedFromReserve(candidate, step) ? reserve.accelerators() : 0,
+                    now);
             candidate.queue().advice().ifPresent(settings -> requestAdvice(candidate, step, settings));
             if (mayPreempt && candidate.queue().priority() == 0) {
                 preemptRuns(candidate, step);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
@@ -32,6 +32,9 @@
     /** Time since which tasks of the step are ready and not placed, in milliseconds; 0 if there are none. */
     long readySince;
 
+    /** Earliest time of the next log line about the wait of the step, in milliseconds. */
+    long nextWaitLineAt;
+
     StepState(String job, int occurrence, int number, StepSpecification specification) {
         this.job = job;
         this.occurrence = occurrence;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -84,6 +84,7 @@
 
     private final RunTimes runTimes = new RunTimes();
     private final UrgentReserve reserve = new UrgentReserve();
+    private final WaitingStepLog waitingStepLog = new WaitingStepLog();
     private WorkloadConfiguration configuration;
     private long pendingPublishedAt;
     private long lastPassAt;
@@ -387,6 +388,7 @@
                         servers.values(),
                         configuration,
                         reserve,
+                        waitingStepLog,
                         new PassActions(now),
                         now - firstPassAt >= SETTLING_MILLISECONDS,
                         new PreemptionLimits(runTimes, timings.stopTimeoutMilliseconds()),
