Never drop the outcome of a call or a request in the placer's queue

Callers would see accepted jobs that are not run, with all capacity free, until another placer is elected.

Cause: all events of the placer shared one bounded ring buffer, and an event that did not fit was dropped with a log line. Nobody repeats the outcome of a write, so the write stayed in flight and nothing was written or started again under this term. The same holds for a removal, a call of the advice service, the stored jobs that were read, an election and a resignation, a configuration, and the requests of callers that the watch of the store reports once.

Fix: only events of agents use the bounded ring buffer. All others use a queue without a bound, which the duty thread reads first; their number is limited by the few calls in flight and by the rate of the store. Reports and departures of agents may still be dropped: reports are repeated every half second, answers to orders after a second, and a server that has left is lost with its contact timeout. A timeout of the write in flight was ruled out: an answer after the timeout would be taken for that of the next write. Every call of the store ends by its own timeout.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/DutyThread.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/DutyThread.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.locks.LockSupport;
 import org.jctools.queues.MpscArrayQueue;
+import org.jctools.queues.MpscUnboundedArrayQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -10,7 +11,8 @@
  * the handler, so that the handler's state needs no locks.
  *
  * <p>A full ring buffer rejects the event instead of blocking, because the offering threads are event loops that serve
- * other connections.
+ * other connections. Events that nobody repeats, such as the outcome of a call, use a queue without a bound, which is
+ * read first; the caller limits their number.
  *
  * @param <E> type of the events
  */
@@ -18,7 +20,10 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(DutyThread.class);
     private static final long STOP_TIMEOUT_MILLISECONDS = 5_000;
 
+    private static final int UNBOUNDED_CHUNK_EVENTS = 64;
+
     private final MpscArrayQueue<E> ringBuffer;
+    private final MpscUnboundedArrayQueue<E> unboundedQueue = new MpscUnboundedArrayQueue<>(UNBOUNDED_CHUNK_EVENTS);
     private final EventHandler<E> handler;
     private final MonotonicClock clock;
     private final long tickMilliseconds;
@@ -61,9 +66,15 @@
         return true;
     }
 
+    /** Enqueues an event also if the ring buffer is full; it is handled before the events in the ring buffer. */
+    public void enqueue(E event) {
+        unboundedQueue.offer(event);
+        LockSupport.unpark(thread);
+    }
+
     /** Returns the number of queued events. */
     public int queueSize() {
-        return ringBuffer.size();
+        return unboundedQueue.size() + ringBuffer.size();
     }
 
     /** Stops the thread after the event that is being handled; queued events are discarded. */
@@ -84,7 +95,8 @@
     private void run() {
         long nextTick = clock.nowMilliseconds() + tickMilliseconds;
         while (!stopped) {
-            E event = ringBuffer.poll();
+            E unbounded = unboundedQueue.poll();
+            E event = unbounded != null ? unbounded : ringBuffer.poll();
             if (event != null) {
                 runAndLogException(() -> handler.handle(event, clock.nowMilliseconds()));
             }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEvent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEvent.java
@@ -15,6 +15,9 @@
         long term();
     }
 
+    /** Event of an agent's connection; may be dropped, because reports and unanswered orders are repeated. */
+    sealed interface FromAgent extends PlacerEvent {}
+
     /** This entry was elected as the placer of a term. */
     record Elected(long term) implements PlacerEvent {}
 
@@ -31,10 +34,10 @@
     record ConfigurationChanged(WorkloadConfiguration configuration) implements PlacerEvent {}
 
     /** A message of an agent was received. */
-    record MessageReceived(AgentConnection connection, WorkMessage message) implements PlacerEvent {}
+    record MessageReceived(AgentConnection connection, WorkMessage message) implements FromAgent {}
 
     /** The connection of an agent was closed. */
-    record AgentDisconnected(AgentConnection connection) implements PlacerEvent {}
+    record AgentDisconnected(AgentConnection connection) implements FromAgent {}
 
     /** A write took effect. */
     record WriteApplied(long term, long revision) implements Result {}
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
@@ -78,8 +78,11 @@
                 + WorkloadTimings.RENEWAL_GRACE_MILLISECONDS;
     }
 
+    /** Passes an event to the duty thread; drops events of agents if the ring buffer is full. */
     void offer(PlacerEvent event) {
-        if (!thread.offer(event)) {
+        if (!(event instanceof PlacerEvent.FromAgent)) {
+            thread.enqueue(event);
+        } else if (!thread.offer(event)) {
             LOGGER.error(
                     "the ring buffer of the placer is full; dropped event {}",
                     event.getClass().getSimpleName());
