Count a failed attempt once, however often its end is reported

Callers could see an accepted job as failed although its tasks had attempts left.

A backend server lists the end of a run until it receives the acknowledgement. If the end was stored and the acknowledgement was lost, the server lists it again for the next placer, and also for the same placer if the server was declared lost and came back in the same incarnation. The number of the last processed end is kept in memory only, so the end was applied again and the failure counted again.

The numbers of the failed attempts are now part of the task's record and the count is derived from them; the members of a gang share them. The list is appended to the stored task: earlier builds read the elements by position and ignore it, and a record without it keeps its plain count.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
@@ -88,14 +88,12 @@
     }
 
     /**
-     * Counts a failure; failed members of the same attempt of a gang count once. The count is stored with every member.
+     * Counts a failed attempt, also if several members of a gang report its failure. The attempt is stored with every
+     * member.
      */
     private static void countFailure(StepState step, TaskState task, int attempt) {
-        if (!step.gang()) {
-            task.failures++;
-        } else if (step.failedAttempts.add(attempt)) {
-            step.tasks.forEach(member -> member.failures++);
-        }
+        List<TaskState> members = step.gang() ? step.tasks : List.of(task);
+        members.forEach(member -> member.failedAttempts.add(attempt));
     }
 
     /** Stops runs of other attempts of tasks that are done; runs of the same attempt end by themselves. */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobRestoration.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobRestoration.java
@@ -32,10 +32,7 @@
         for (int index = 0; index < step.tasks.size(); index++) {
             TaskState task = step.tasks.get(index);
             TaskRecord taskRecord = stepRecord.tasks().get(index);
-            task.attempt = taskRecord.attempt();
-            task.failures = taskRecord.failures();
-            task.done = taskRecord.done();
-            task.checkpoint = taskRecord.checkpoint();
+            task.restore(taskRecord);
             if (!taskRecord.server().isEmpty()) {
                 restoreRun(job, step, task, taskRecord, now);
             }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
@@ -128,7 +128,7 @@
         boolean exhausted = job.steps.stream()
                 .filter(step -> !step.specification.longRunning())
                 .flatMap(step -> step.tasks.stream())
-                .anyMatch(task -> !task.done && task.failures >= job.maximumAttempts);
+                .anyMatch(task -> !task.done && task.failures() >= job.maximumAttempts);
         if (exhausted) {
             finish(job, JobPhase.FAILED, now);
         } else if (job.steps.stream().allMatch(StepState::done)) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
@@ -1,8 +1,6 @@
 package org.teaselwood.workload.placer;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.teaselwood.workload.model.StepSpecification;
@@ -17,9 +15,6 @@
     final StepSpecification specification;
     final List<TaskState> tasks;
 
-    /** Failed attempts of a gang; several failed members of one attempt count as one failure. */
-    final Set<Integer> failedAttempts = new HashSet<>();
-
     /** Answers of the advice service. */
     final StepAdvice advice = new StepAdvice();
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/TaskState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/TaskState.java
@@ -1,16 +1,30 @@
 package org.teaselwood.workload.placer;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import org.teaselwood.workload.model.TaskName;
 import org.teaselwood.workload.record.TaskRecord;
 
-/** State of one task. Mutable; confined to the placer's duty thread. */
+/**
+ * State of one task. Mutable; confined to the placer's duty thread.
+ *
+ * <p>Invariant: a failed attempt counts once. A server reports an end until it receives the acknowledgement, so that a
+ * new placer may receive the end of an attempt whose failure is stored already.
+ */
 final class TaskState {
     final TaskName name;
     final Set<String> failedOn = new HashSet<>();
     int attempt;
-    int failures;
+
+    /** Numbers of the failed attempts; the members of a gang share theirs. */
+    final SortedSet<Integer> failedAttempts = new TreeSet<>();
+
+    /** Failures counted by an earlier build, which did not store the numbers of the attempts. */
+    private int failuresWithoutAttempt;
+
     boolean done;
     String checkpoint = "";
 
@@ -28,14 +42,29 @@
         return !done && run == null;
     }
 
+    /** Returns the number of failed attempts. */
+    int failures() {
+        return failuresWithoutAttempt + failedAttempts.size();
+    }
+
+    /** Restores the progress except for the run. */
+    void restore(TaskRecord stored) {
+        attempt = stored.attempt();
+        done = stored.done();
+        checkpoint = stored.checkpoint();
+        failedAttempts.addAll(stored.failedAttempts());
+        failuresWithoutAttempt = Math.max(0, stored.failures() - failedAttempts.size());
+    }
+
     TaskRecord toRecord() {
         return new TaskRecord(
                 attempt,
-                failures,
+                failures(),
                 done,
                 run == null ? "" : run.server.id,
                 run == null ? 0 : run.server.incarnation,
                 run == null ? "" : run.server.host,
-                checkpoint);
+                checkpoint,
+                List.copyOf(failedAttempts));
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/TaskRecord.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/TaskRecord.java
@@ -1,5 +1,7 @@
 package org.teaselwood.workload.record;
 
+import java.util.List;
+
 /**
  * Stored progress of one task. Immutable.
  *
@@ -10,6 +12,8 @@
  * @param serverIncarnation start time of that server's incarnation, in milliseconds since 1970
  * @param host VM of that server, empty when the attempt has ended
  * @param checkpoint newest checkpoint, empty for none
+ * @param failedAttempts numbers of the failed attempts, in ascending order; fewer than the failed runs if a build that
+ *     did not store them has counted some
  */
 public record TaskRecord(
         int attempt,
@@ -18,7 +22,13 @@
         String server,
         long serverIncarnation,
         String host,
-        String checkpoint) {
+        String checkpoint,
+        List<Integer> failedAttempts) {
     /** Record of a task that has never been started. */
-    public static final TaskRecord NEW = new TaskRecord(0, 0, false, "", 0, "", "");
+    public static final TaskRecord NEW = new TaskRecord(0, 0, false, "", 0, "", "", List.of());
+
+    /** Creates a record with a copy of the list. */
+    public TaskRecord {
+        failedAttempts = List.copyOf(failedAttempts);
+    }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -21,6 +21,9 @@
  * <p>Decoding fails with BAD_FRAME for any value that this class cannot have written.
  */
 public final class WorkloadJson {
+    /** Position of the failed attempts of a task; earlier builds neither write nor read this element. */
+    private static final int FAILED_ATTEMPTS = 7;
+
     private WorkloadJson() {}
 
     /** Encodes an accepted job. */
@@ -69,7 +72,8 @@
                             .add(task.server())
                             .add(task.serverIncarnation())
                             .add(task.host())
-                            .add(task.checkpoint())));
+                            .add(task.checkpoint())
+                            .add(new JsonArray(task.failedAttempts()))));
             steps.add(new JsonObject()
                     .put("occurrence", step.occurrence())
                     .put("step", step.step())
@@ -155,7 +159,11 @@
                         task.getString(3),
                         task.getLong(4),
                         task.getString(5),
-                        task.getString(6)))
+                        task.getString(6),
+                        task.size() > FAILED_ATTEMPTS
+                                ? JsonArrays.integers(task.getJsonArray(FAILED_ATTEMPTS))
+                                        .toList()
+                                : List.of()))
                 .toList();
         return new StepRecord(json.getInteger("occurrence"), json.getInteger("step"), records);
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -74,6 +74,12 @@
     /** Whether runs make no progress. */
     boolean stalled;
 
+    /** Whether acknowledgements of ends do not arrive. */
+    boolean losesAcknowledgements;
+
+    /** Ends of runs that failed, whether acknowledged or not. */
+    final List<EndedTask> failures = new ArrayList<>();
+
     /** Whether finished runs stay at 100 percent until released, like gang members that wait for a slower one. */
     boolean holdsFinishedRuns;
 
@@ -222,8 +228,12 @@
     private void end(String key, EndKind kind) {
         running.remove(key);
         int split = key.indexOf('#');
-        ended.add(new EndedTask(
-                ++endNumber, key.substring(0, split), Integer.parseInt(key.substring(split + 1)), kind, ""));
+        EndedTask end = new EndedTask(
+                ++endNumber, key.substring(0, split), Integer.parseInt(key.substring(split + 1)), kind, "");
+        ended.add(end);
+        if (kind == EndKind.FAILED) {
+            failures.add(end);
+        }
         nextReport = 0;
     }
 
@@ -289,6 +299,9 @@
     }
 
     private void acknowledge(long number) {
+        if (losesAcknowledgements) {
+            return;
+        }
         ended.stream()
                 .filter(end -> end.number() <= number && end.kind() == EndKind.DONE)
                 .forEach(end -> acknowledgedSuccesses.add(end.task()));
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerFaultsTest.java
@@ -2,12 +2,14 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -15,6 +17,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.teaselwood.protocol.message.WorkMessage;
 import org.teaselwood.protocol.message.WorkMessage.EndKind;
+import org.teaselwood.protocol.message.WorkMessage.EndedTask;
 import org.teaselwood.workload.model.TaskName;
 import org.teaselwood.workload.model.WorkloadTimings;
 import org.teaselwood.workload.record.JobPhase;
@@ -25,13 +28,15 @@
 /**
  * Runs random jobs under random faults in virtual time and checks the invariants of the placer: no task runs twice at
  * once or again after a stored success, no success is acknowledged before it is stored, no server is overloaded, no
- * gang stays incomplete beyond the gang wait timeout, and every job ends once the faults have ended.
+ * gang stays incomplete beyond the gang wait timeout, every job ends once the faults have ended, and none fails before
+ * one of its tasks has used all its attempts.
  */
 final class PlacerFaultsTest {
     private static final int SEEDS = 60;
     private static final int STEPS = 300;
     private static final long SLICE_MILLISECONDS = 100;
     private static final int SERVERS = 6;
+    private static final int MAXIMUM_ATTEMPTS = 3;
 
     /** Longer than a lease, so that some runs are still active when the lease of a disconnected server expires. */
     private static final int LONGEST_WORK_MILLISECONDS = 12_000;
@@ -41,6 +46,8 @@
     private final Set<String> succeeded = new HashSet<>();
     private final Map<String, Long> incompleteSince = new HashMap<>();
     private final Map<String, Integer> checkedStarts = new HashMap<>();
+    private final Set<String> checkedFailures = new HashSet<>();
+    private final List<FakeServer> allServers = new ArrayList<>();
     private int incarnations;
 
     @ParameterizedTest
@@ -57,6 +64,7 @@
         scenario.storeAvailable = true;
         scenario.losesWriteAnswers = false;
         scenario.servers.values().forEach(server -> server.deliversAnswers = true);
+        scenario.servers.values().forEach(server -> server.losesAcknowledgements = false);
         disconnectedSince.keySet().stream().toList().forEach(this::reconnect);
         for (int step = 0; step < 3_000; step++) {
             advance(seed);
@@ -69,6 +77,22 @@
         assertWithMessage("seed %s", seed).that(scenario.runningTasks()).isEqualTo(0);
     }
 
+    /** Returns the largest number of failed attempts of a task of the job; the members of a gang share theirs. */
+    private int mostFailedAttempts(String job) {
+        boolean gang = scenario.accepted.get(job).steps().getFirst().gang();
+        return allServers.stream()
+                .flatMap(server -> server.failures.stream())
+                .filter(end -> end.task().startsWith(job + "."))
+                .collect(Collectors.groupingBy(
+                        end -> gang ? end.task().substring(0, end.task().lastIndexOf('.')) : end.task(),
+                        Collectors.mapping(EndedTask::attempt, Collectors.toSet())))
+                .values()
+                .stream()
+                .mapToInt(Set::size)
+                .max()
+                .orElse(0);
+    }
+
     private static LongStream seeds() {
         return LongStream.rangeClosed(1, SEEDS);
     }
@@ -76,7 +100,7 @@
     private void injectEvent(Random random, int step) {
         List<String> alive = scenario.servers.keySet().stream().toList();
         String server = alive.get(random.nextInt(alive.size()));
-        switch (random.nextInt(24)) {
+        switch (random.nextInt(25)) {
             case 0, 1, 2, 3 -> submit(random, step);
             case 4 -> disconnect(server);
             case 5 -> reconnectOneOf(random);
@@ -103,6 +127,7 @@
                 scenario.connect(scenario.servers.get(server));
                 scenario.servers.get(server).deliverLateReports(scenario.placer, scenario.now);
             }
+            case 24 -> scenario.servers.get(server).losesAcknowledgements = random.nextInt(3) > 0;
             default -> scenario.servers.get(server).answersOrders = random.nextInt(4) > 0;
         }
         scenario.servers.values().forEach(present -> present.stalled = false);
@@ -178,7 +203,7 @@
     }
 
     private void startIncarnation(String host, String rack) {
-        scenario.server("s" + ++incarnations, host, rack);
+        allServers.add(scenario.server("s" + ++incarnations, host, rack));
     }
 
     private void advance(long seed) {
@@ -214,6 +239,15 @@
                 .filter(succeeded::add)
                 .forEach(task -> checkStored(seed, task));
         checkGangs(seed, running.keySet());
+        checkFailedJobs(seed);
+    }
+
+    private void checkFailedJobs(long seed) {
+        scenario.accepted.keySet().stream()
+                .filter(job -> scenario.phase(job) == JobPhase.FAILED && checkedFailures.add(job))
+                .forEach(job -> assertWithMessage("seed %s, attempts of failed job %s", seed, job)
+                        .that(mostFailedAttempts(job))
+                        .isAtLeast(MAXIMUM_ATTEMPTS));
     }
 
     private void checkStored(long seed, String task) {
