Keep a gang running when the end of an earlier attempt is reported late

Callers would see a gang that starts over although all its members run well: work of the current attempt is stopped and lost.

A backend server that could not be reached is declared lost, and the gang is started again elsewhere. When the server comes back in the same incarnation it lists the ends of the earlier attempt. The handler stopped the gang's runs for the end of any attempt, so the late end stopped the current ones.

An end now stops the other members only if it belongs to the attempt on record. All members of a gang share the number of the attempt, so the comparison with the task's own number is sufficient. A late failure still counts as an attempt, and a late success still completes the task. Checkpoints were already compared by attempt and are not affected.

Before the change EarlierEndsTest failed for each of LAPSED, BROKEN, STOPPED and FAILED (stopped tasks expected to be empty, but was [job.0.0.1]). It passes after it, with all other tests of the module.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
@@ -81,9 +81,19 @@
                 server.countFailure(now);
                 task.failedOn.add(server.id);
                 countFailure(step, task, ended.attempt());
-                lifecycle.stopGang(step, now);
+                stopGangOf(step, task, ended, now);
             }
-            default -> lifecycle.stopGang(step, now);
+            default -> stopGangOf(step, task, ended, now);
+        }
+    }
+
+    /**
+     * Stops the other members of the gang after the end of a member. The end of an earlier attempt, which a server that
+     * could not be reached reports late, does not concern the current one.
+     */
+    private void stopGangOf(StepState step, TaskState task, EndedTask ended, long now) {
+        if (ended.attempt() >= task.attempt) {
+            lifecycle.stopGang(step, now);
         }
     }
 
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/EarlierEndsTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/EarlierEndsTest.java
@@ -4,6 +4,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.teaselwood.protocol.message.WorkMessage.EndKind;
 import org.teaselwood.workload.model.StepSpecification;
 import org.teaselwood.workload.record.JobPhase;
@@ -71,4 +73,34 @@
         scenario.run(8_000);
         assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
     }
+
+    /** Starts a gang on two servers and a second attempt of it while the first server cannot be reached. */
+    private void startSecondAttemptOfGang() {
+        scenario.server("s2", "r1");
+        scenario.workMilliseconds.put("job.0.0.0", 20_000L);
+        scenario.workMilliseconds.put("job.0.0.1", 20_000L);
+        scenario.submit("job", "normal", PlacerScenario.gang(2, 8));
+        scenario.run(1_000);
+        scenario.server("s3", "r1");
+        server.connected = false;
+        server.dropConnection(scenario.placer);
+        server.expireLease();
+        scenario.run(PlacerScenario.TIMINGS.lostAfterMilliseconds() + 1_000);
+        assertThat(scenario.servers.get("s3").running).hasSize(1);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"LAPSED", "BROKEN", "STOPPED", "FAILED"})
+    void the_end_of_an_earlier_attempt_does_not_stop_the_current_run_of_a_gang(EndKind kind) {
+        server.expiryKind = kind;
+        startSecondAttemptOfGang();
+        server.connected = true;
+        scenario.connect(server);
+        scenario.run(2_000);
+        assertThat(server.ended).isEmpty();
+        assertThat(scenario.servers.get("s3").stopped).isEmpty();
+        scenario.run(20_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(scenario.starts("job.0.0.1")).isEqualTo(2);
+    }
 }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -47,6 +47,9 @@
     /** How the runs of this server end. */
     EndKind endKind = EndKind.DONE;
 
+    /** How the runs of this server end when their lease expires. */
+    EndKind expiryKind = EndKind.LAPSED;
+
     /** Reported load by task. */
     final Map<String, Integer> loads = new HashMap<>();
 
@@ -218,7 +221,7 @@
 
     /** Ends all runs as on expiry of the lease. */
     void expireLease() {
-        List.copyOf(running.keySet()).forEach(key -> end(key, EndKind.LAPSED));
+        List.copyOf(running.keySet()).forEach(key -> end(key, expiryKind));
     }
 
     private long workOf(String key) {
