Store the settings of the queue with an accepted job

Callers saw an accepted job that could run and did not, after its queue had left the configuration.

Cause: a placer kept the former settings of such a queue only in memory. A new placer has only the newest configuration, in which the open job has no queue, so that it was no candidate of any pass. The same happened to a job that an entry accepted under the former configuration and that reached the placer after the new one.

Fix: the entry stores the settings of the queue in the record of the accepted job. The placer uses them for an open job whose queue is in no configuration that it knows; the newest configuration and settings that it has used take precedence. The accepted record was chosen over the progress record because a placer may see the job for the first time after the queue was removed.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/JobSpecification.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/JobSpecification.java
@@ -1,6 +1,7 @@
 package org.teaselwood.workload.model;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Specification of an accepted job. Immutable.
@@ -13,6 +14,7 @@
  * @param startAtMilliseconds due time of the first occurrence since 1970, 0 for a job without a schedule
  * @param intervalMilliseconds time between the due times of two occurrences
  * @param occurrences number of occurrences, 0 for a job without a schedule
+ * @param queueSettings settings of the queue when the job was accepted, empty if an earlier version accepted it
  */
 public record JobSpecification(
         String id,
@@ -22,12 +24,26 @@
         List<StepSpecification> steps,
         long startAtMilliseconds,
         long intervalMilliseconds,
-        int occurrences) {
+        int occurrences,
+        Optional<QueueSettings> queueSettings) {
     /** Creates a specification with a copy of the list. */
     public JobSpecification {
         steps = List.copyOf(steps);
     }
 
+    /** Creates a specification without the settings of the queue. */
+    public JobSpecification(
+            String id,
+            String queue,
+            String team,
+            String payload,
+            List<StepSpecification> steps,
+            long startAtMilliseconds,
+            long intervalMilliseconds,
+            int occurrences) {
+        this(id, queue, team, payload, steps, startAtMilliseconds, intervalMilliseconds, occurrences, Optional.empty());
+    }
+
     /** Returns whether the job has a schedule. */
     public boolean scheduled() {
         return occurrences > 0;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadConfiguration.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadConfiguration.java
@@ -26,6 +26,11 @@
         return new WorkloadConfiguration(version, all, guaranteedAccelerators);
     }
 
+    /** Returns this configuration with a former queue if it contains none of that name. */
+    public WorkloadConfiguration withRetainedQueue(QueueSettings former) {
+        return queues.containsKey(former.name()) ? this : withRetainedQueues(Map.of(former.name(), former));
+    }
+
     /** Returns the queue of the given name, empty if there is none. */
     public Optional<QueueSettings> queue(String name) {
         return Optional.ofNullable(queues.get(name));
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -15,7 +15,6 @@
 import org.teaselwood.protocol.message.WorkMessage.ServerReport;
 import org.teaselwood.workload.model.AdviceSettings;
 import org.teaselwood.workload.model.JobSpecification;
-import org.teaselwood.workload.model.QueueSettings;
 import org.teaselwood.workload.model.WorkloadConfiguration;
 import org.teaselwood.workload.model.WorkloadTimings;
 import org.teaselwood.workload.record.JobPhase;
@@ -82,10 +81,10 @@
     /** Newest server incarnation by VM; a lookup here avoids a search of all servers for most reports. */
     private final Map<String, ServerState> newestIncarnations = new HashMap<>();
 
+    private final ActiveConfiguration configuration;
     private final RunTimes runTimes = new RunTimes();
     private final UrgentReserve reserve = new UrgentReserve();
     private final WaitingStepLog waitingStepLog = new WaitingStepLog();
-    private WorkloadConfiguration configuration;
     private long pendingPublishedAt;
     private long lastPassAt;
     private long minimumPassIntervalMilliseconds;
@@ -104,7 +103,7 @@
     public WorkPlacer(long term, WorkloadTimings timings, WorkloadConfiguration configuration, PlacerEffects effects) {
         this.term = term;
         this.timings = timings;
-        this.configuration = configuration;
+        this.configuration = new ActiveConfiguration(configuration);
         this.effects = effects;
         this.writes = new JobWrites(effects);
         this.lifecycle = new RunLifecycle(term, writes, effects);
@@ -130,11 +129,11 @@
         }
         JobState job = new JobState(specification, revision);
         jobs.put(job.id(), job);
-        updateMaximumAttempts(job);
         if (record.isEmpty()) {
             job.acceptedAt = now;
         }
         record.ifPresent(stored -> restoration.restore(job, stored, now));
+        configuration.apply(job);
         lifecycle.markChanged();
     }
 
@@ -155,13 +154,7 @@
 
     /** Applies a newer configuration. Queues that it drops stay in force for jobs that are still open. */
     public void configurationChanged(WorkloadConfiguration newConfiguration) {
-        Map<String, QueueSettings> former = new LinkedHashMap<>();
-        openJobs()
-                .map(job -> job.specification.queue())
-                .distinct()
-                .forEach(name -> configuration.queue(name).ifPresent(queue -> former.put(name, queue)));
-        configuration = newConfiguration.withRetainedQueues(former);
-        jobs.values().forEach(this::updateMaximumAttempts);
+        configuration.update(newConfiguration, jobs.values());
         lifecycle.markChanged();
     }
 
@@ -351,14 +344,14 @@
             lastCheckAt = now;
             check(now);
         }
-        if (configuration != null) {
+        configuration.current().ifPresent(current -> {
             long sincePass = now - lastPassAt;
             boolean due = sincePass >= MAXIMUM_PASS_INTERVAL_MILLISECONDS;
             if (due || sincePass >= minimumPassIntervalMilliseconds && lifecycle.takeChanged()) {
-                pass(now);
+                pass(current, now);
             }
-            publishPending(now);
-        }
+            publishPending(current, now);
+        });
         writes.flush(now);
     }
 
@@ -375,7 +368,7 @@
         retention.check(now);
     }
 
-    private void pass(long now) {
+    private void pass(WorkloadConfiguration current, long now) {
         lastPassAt = now;
         firstPassAt = firstPassAt < 0 ? now : firstPassAt;
         passes++;
@@ -386,7 +379,7 @@
         new PlacementPass(
                         open,
                         servers.values(),
-                        configuration,
+                        current,
                         reserve,
                         waitingStepLog,
                         new PassActions(now),
@@ -469,22 +462,13 @@
         lifecycle.markChanged();
     }
 
-    private void updateMaximumAttempts(JobState job) {
-        if (configuration != null) {
-            configuration
-                    .queue(job.specification.queue())
-                    .map(QueueSettings::maximumAttempts)
-                    .ifPresent(maximum -> job.maximumAttempts = maximum);
-        }
-    }
-
-    private void publishPending(long now) {
+    private void publishPending(WorkloadConfiguration current, long now) {
         if (now - pendingPublishedAt < PENDING_INTERVAL_MILLISECONDS) {
             return;
         }
         pendingPublishedAt = now;
         Map<String, Integer> pending = new TreeMap<>();
-        configuration.queues().keySet().forEach(queue -> pending.put(queue, 0));
+        current.queues().keySet().forEach(queue -> pending.put(queue, 0));
         jobs.values().stream()
                 .filter(job -> job.phase == JobPhase.QUEUED)
                 .forEach(job -> pending.merge(job.specification.queue(), 1, Integer::sum));
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -6,11 +6,14 @@
 import io.vertx.core.json.JsonObject;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.workload.model.AdviceSettings;
 import org.teaselwood.workload.model.JobSpecification;
+import org.teaselwood.workload.model.QueueSettings;
 import org.teaselwood.workload.model.Resources;
 import org.teaselwood.workload.model.StepSpecification;
 
@@ -30,16 +33,16 @@
     public static byte[] encode(JobSpecification job) {
         JsonArray steps = new JsonArray();
         job.steps().forEach(step -> steps.add(stepJson(step)));
-        return new JsonObject()
+        JsonObject json = new JsonObject()
                 .put("queue", job.queue())
                 .put("team", job.team())
                 .put("payload", job.payload())
                 .put("startAt", job.startAtMilliseconds())
                 .put("interval", job.intervalMilliseconds())
                 .put("occurrences", job.occurrences())
-                .put("steps", steps)
-                .toBuffer()
-                .getBytes();
+                .put("steps", steps);
+        job.queueSettings().ifPresent(settings -> json.put("queueSettings", queueSettingsJson(settings)));
+        return json.toBuffer().getBytes();
     }
 
     /** Decodes an accepted job. */
@@ -56,7 +59,8 @@
                                 .toList(),
                         json.getLong("startAt"),
                         json.getLong("interval"),
-                        json.getInteger("occurrences")));
+                        json.getInteger("occurrences"),
+                        Optional.ofNullable(json.getJsonObject("queueSettings")).map(WorkloadJson::queueSettings)));
     }
 
     /** Encodes the progress of a job. */
@@ -112,6 +116,39 @@
                 value, json -> json.fieldNames().stream().collect(Collectors.toMap(name -> name, json::getInteger)));
     }
 
+    private static JsonObject queueSettingsJson(QueueSettings settings) {
+        JsonObject json = new JsonObject()
+                .put("name", settings.name())
+                .put("service", settings.service())
+                .put("priority", settings.priority())
+                .put("maximumAttempts", settings.maximumAttempts())
+                .put("stretch", settings.stretch())
+                .put("objective", settings.objectiveMilliseconds());
+        settings.advice()
+                .ifPresent(advice -> json.put(
+                        "advice",
+                        new JsonObject()
+                                .put("fixedResponse", advice.fixedResponseMilliseconds())
+                                .put("responsePerServer", advice.responseMillisecondsPerServer())
+                                .put("ticketValidity", advice.ticketValidityMilliseconds())));
+        return json;
+    }
+
+    private static QueueSettings queueSettings(JsonObject json) {
+        return new QueueSettings(
+                json.getString("name"),
+                json.getString("service"),
+                json.getInteger("priority"),
+                json.getInteger("maximumAttempts"),
+                json.getDouble("stretch"),
+                json.getLong("objective"),
+                Optional.ofNullable(json.getJsonObject("advice"))
+                        .map(advice -> new AdviceSettings(
+                                advice.getLong("fixedResponse"),
+                                advice.getLong("responsePerServer"),
+                                advice.getLong("ticketValidity"))));
+    }
+
     private static JsonObject stepJson(StepSpecification step) {
         return new JsonObject()
                 .put("count", step.count())
