Bound the reserve for urgent jobs by what they used

Callers saw batch tasks wait up to five seconds per step on an almost empty deployment. The reserve for urgent jobs was the peak of what they requested, which may exceed all that exists; when many of them were cancelled or failed at once, it kept all work without checkpoints out, even work that needs no accelerator.

The reserve is now the peak of what urgent jobs used, less their demand. While more than half of the service is free, it keeps a step out for 1.5 seconds at most; on a busy service the limit of five seconds stays, because there the next urgent job would preempt the work. Work without accelerators does not wait.

UrgentReserveTest plays the loads. On the unchanged code three of its four tests fail ("starts(...) expected: 1 but was: 0" after urgent jobs that used the whole deployment were cancelled, after urgent jobs that never ran were cancelled, and for a task without accelerators); the fourth guards the reserve of a busy deployment and passes before and after.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
@@ -22,6 +22,7 @@
     private final Set<JobState> entitled = new HashSet<>();
     private final Set<Run> interruptible = new HashSet<>();
     private int urgentAccelerators;
+    private int urgentAcceleratorsInUse;
 
     Entitlements(Collection<JobState> openJobs, WorkloadConfiguration configuration) {
         this.configuration = configuration;
@@ -34,6 +35,8 @@
         for (JobState job : urgent) {
             int need = accelerators(job);
             urgentAccelerators += need;
+            urgentAcceleratorsInUse +=
+                    job.runs().mapToInt(run -> run.reserved().accelerators()).sum();
             int available = remaining.getOrDefault(job.specification.team(), 0);
             if (need <= available) {
                 remaining.put(job.specification.team(), available - need);
@@ -63,6 +66,11 @@
         return urgentAccelerators;
     }
 
+    /** Returns the number of accelerators that the runs of all open jobs of priority 0 use. */
+    int urgentAcceleratorsInUse() {
+        return urgentAcceleratorsInUse;
+    }
+
     boolean isUrgent(JobState job) {
         return priority(job) == 0;
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreeCapacity.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreeCapacity.java
@@ -51,6 +51,20 @@
                 .sum();
     }
 
+    /** Returns whether more than half of a service is free, by accelerators or by equivalent cores. */
+    boolean isMostlyFree(String service) {
+        int accelerators = 0;
+        double cores = 0;
+        for (Map.Entry<ServerState, Resources> server : free.entrySet()) {
+            if (server.getKey().description.service().equals(service)) {
+                Resources capacity = server.getKey().capacity();
+                accelerators += 2 * server.getValue().accelerators() - capacity.accelerators();
+                cores += 2 * server.getValue().equivalentCores() - capacity.equivalentCores();
+            }
+        }
+        return accelerators > 0 || cores > 0;
+    }
+
     /** Returns the number of usable servers of a service. */
     long serverCount(String service) {
         return free.keySet().stream()
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -19,11 +19,14 @@
  */
 final class PlacementPass {
     /**
-     * Longest time for which a step of lower priority is kept out of the urgent reserve; a fraction of the slack
-     * in its own objective.
+     * Longest time for which a step of lower priority is kept out of the urgent reserve of a busy service; a fraction
+     * of the slack in its own objective.
      */
     private static final long MAXIMUM_RESERVE_EXCLUSION_MILLISECONDS = 5_000;
 
+    /** Longest time for which a step is kept out of the urgent reserve while most of its service is free. */
+    private static final long MAXIMUM_EXCLUSION_WHILE_MOSTLY_FREE_MILLISECONDS = 1_500;
+
     /** Weight of work lost by urgent runs: a preempted urgent job is late and preempts others in turn. */
     private static final double URGENT_LOSS_WEIGHT = 4.0;
 
@@ -81,7 +84,7 @@
     private record Candidate(JobState job, QueueSettings queue, boolean entitled) {}
 
     void run() {
-        reserve.observe(entitlements.urgentAccelerators(), now);
+        reserve.observe(entitlements.urgentAcceleratorsInUse(), entitlements.urgentAccelerators(), now);
         openJobs.stream()
                 .filter(job -> configuration.queue(job.specification.queue()).isEmpty())
                 .forEach(job -> waitingStepLog.queueMissing(job, now));
@@ -153,15 +156,19 @@
      * has not waited long yet.
      */
     private boolean isExcludedFromReserve(Candidate candidate, StepState step) {
+        long waited = now - step.readySince;
+        int perTask = step.specification.resources().accelerators();
         if (candidate.queue().priority() == 0
+                || reserve.accelerators() == 0
+                || perTask == 0
                 || step.specification.checkpointing()
-                || now - step.readySince > MAXIMUM_RESERVE_EXCLUSION_MILLISECONDS) {
+                || waited > MAXIMUM_RESERVE_EXCLUSION_MILLISECONDS) {
             return false;
         }
         long waiting = step.gang() ? step.tasks.size() : 1;
-        return freeCapacity.freeAccelerators()
-                        - waiting * step.specification.resources().accelerators()
-                < reserve.accelerators();
+        return freeCapacity.freeAccelerators() - waiting * perTask < reserve.accelerators()
+                && (waited <= MAXIMUM_EXCLUSION_WHILE_MOSTLY_FREE_MILLISECONDS
+                        || !freeCapacity.isMostlyFree(candidate.queue().service()));
     }
 
     private boolean placeGang(Candidate candidate, StepState step) {
