Report a backend server as gone when it does not answer until its leases expired

Callers saw tasks of a backend server that crashed and did not return remain unplaced, with most of the capacity free. The agent of such a server keeps reporting its last lists with responsive=false, and the placer removes a server only after the silence of its agent, a newer incarnation or a departure notice. Its runs stayed on record and their stops were retried without end.

The agent now renews leases for at most 3 s without an answer of the server. Once every lease that may have been granted has expired (by renewals and starts, answered or not, with the drift of the server's clock) and a read sent after that is not answered either, it sends the existing departure notice and drops its orders. Reads go on without renewals; an answer of the same incarnation brings the server back into use, and its lists are reconciled. A server that is silent for less than the lease after the last renewal keeps its runs. The notice is repeated on each new connection, so that a new placer learns it; if it is lost, the placer loses the server because its agent no longer reports.

Since an incarnation may now return after a notice, the placer ignores a notice that an earlier connection delivers late, as it does with reports.

Without the comparison of connections, a_late_notice_of_an_earlier_connection_does_not_end_ the_runs_of_a_server_that_is_back fails with two starts instead of one.

Ruled out: a decision of the placer from responsive=false, because the placer does not know which renewals and starts the agent has sent, in particular after an election.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
@@ -115,7 +115,10 @@
     record OrderResult(String server, long incarnation, String task, int attempt, OrderOutcome outcome, long operation)
             implements WorkMessage {}
 
-    /** Notice that an incarnation of a backend server has shut down. */
+    /**
+     * Notice that nothing runs on an incarnation of a backend server any more: it has shut down, or it has not answered
+     * its agent until all its leases had expired.
+     */
     record ServerLeft(String server, long incarnation) implements WorkMessage {}
 
     /**
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -23,8 +23,10 @@
  * <p>The agent renews the leases of all runs while the placer answers its reports, or while the store confirms that no
  * placer is elected. It carries out orders and retries them until the server answers. Invariants: once a placer is
  * elected, leases are renewed for at most {@link WorkloadTimings#CONTACT_TIMEOUT_MILLISECONDS} without an answer from
- * that placer, so that the placer knows when the runs of an unresponsive agent have ended; orders of an older term are
- * dropped; a draining server gets no new tasks.
+ * that placer, so that the placer knows when the runs of an unresponsive agent have ended; leases of a server that does
+ * not answer are renewed for at most {@link #RENEWAL_LIMIT_MILLISECONDS}, and the server is reported as gone only after
+ * every lease that it may have granted has expired; orders of an older term are dropped; a draining server gets no new
+ * tasks.
  */
 public final class WorkAgent {
     private static final Logger LOGGER = LoggerFactory.getLogger(WorkAgent.class);
@@ -40,27 +42,32 @@
     /** Time without an answer, twice the read wait, after which a server is reported as unresponsive. */
     private static final long UNRESPONSIVE_AFTER_MILLISECONDS = 2 * READ_WAIT_MILLISECONDS;
 
+    /** Time without an answer, three times the read wait, after which leases are no longer renewed. */
+    private static final long RENEWAL_LIMIT_MILLISECONDS = 3 * READ_WAIT_MILLISECONDS;
+
+    /** Delay between reads of a server that is reported as gone. */
+    private static final long GONE_READ_DELAY_MILLISECONDS = 500;
+
     /** Time for which an unconfirmed start is retried; the placer stops the run afterwards. */
     private static final long START_RETRY_LIMIT_MILLISECONDS = 1_500;
 
-    /** Lease duration, added to the clock of the server; the server shortens the lease to its own maximum. */
-    private final long leaseMilliseconds;
-
     /** Distinguishes this process from an earlier agent process of the same server. */
     private final long agentIncarnation = ThreadLocalRandom.current().nextLong();
 
     private final Vertx vertx;
     private final MonotonicClock clock;
     private final BackendServerClient client;
+    private final ServerLeases leases;
     private final Set<String> startsInProgress = new HashSet<>();
     private final Set<String> stopsInProgress = new HashSet<>();
     private ServerHeartbeat heartbeat;
-    private boolean serverLeft;
+
+    /** Whether the server is reported as gone; it is in use again after an answer or a newer incarnation. */
+    private boolean serverGone;
+
     private long highestTerm;
     private long lastOperation;
     private long acknowledged;
-    private long serverClock;
-    private long serverClockReadAt;
     private long serverLastContactAt;
     private long lastContactAt = Long.MIN_VALUE / 2;
     private long noPlacerConfirmedAt = Long.MIN_VALUE / 2;
@@ -84,7 +91,7 @@
         this.vertx = vertx;
         this.clock = clock;
         this.client = client;
-        this.leaseMilliseconds = timings.maximumLeaseMilliseconds();
+        this.leases = new ServerLeases(timings.maximumLeaseMilliseconds());
     }
 
     /** Processes a heartbeat of the server; one that is older than the last is ignored. */
@@ -101,7 +108,11 @@
         if (newIncarnation) {
             beginIncarnation(newHeartbeat);
         }
-        updateServerClock(newHeartbeat.clockMilliseconds());
+        leases.clockRead(newHeartbeat.clockMilliseconds(), clock.nowMilliseconds());
+        if (newIncarnation) {
+            readLoopActive = true;
+            read(READ_WAIT_MILLISECONDS, true);
+        }
         if (drainingChanged || newIncarnation) {
             LOGGER.info(
                     "backend server {} draining={}", newHeartbeat.description().server(), newHeartbeat.draining());
@@ -113,10 +124,10 @@
     public void serverDeparted(String server) {
         if (heartbeat != null && heartbeat.description().server().equals(server)) {
             LOGGER.info("backend server {} has left", server);
-            serverLeft = true;
+            serverGone = true;
             incarnation++;
             readLoopActive = false;
-            send(new WorkMessage.ServerLeft(server, heartbeat.description().incarnation()));
+            sendServerLeft();
         }
     }
 
@@ -124,6 +135,9 @@
     public void connected(long term, Sender newSender) {
         sender = newSender;
         raiseTerm(term);
+        if (serverGone) {
+            sendServerLeft();
+        }
         readNow();
     }
 
@@ -190,7 +204,7 @@
                 "backend server {} announced an incarnation started at {}",
                 newHeartbeat.description().server(),
                 newHeartbeat.description().incarnation());
-        serverLeft = false;
+        serverGone = false;
         incarnation++;
         acknowledged = 0;
         running = List.of();
@@ -200,29 +214,18 @@
         startsInProgress.clear();
         stopsInProgress.clear();
         serverLastContactAt = clock.nowMilliseconds();
-        readLoopActive = true;
-        read(READ_WAIT_MILLISECONDS, true);
-    }
-
-    private void updateServerClock(long milliseconds) {
-        if (milliseconds >= 0) {
-            serverClock = milliseconds;
-            serverClockReadAt = clock.nowMilliseconds();
-        }
+        leases.begin(serverLastContactAt);
     }
 
-    private long leaseExpiry() {
-        return serverClock + clock.nowMilliseconds() - serverClockReadAt + leaseMilliseconds;
-    }
-
-    private boolean mayRenew() {
-        long now = clock.nowMilliseconds();
-        return now - lastContactAt <= WorkloadTimings.CONTACT_TIMEOUT_MILLISECONDS
-                || now - noPlacerConfirmedAt <= WorkloadTimings.CONTACT_TIMEOUT_MILLISECONDS;
+    private boolean mayRenew(long now) {
+        return !serverGone
+                && now - serverLastContactAt <= RENEWAL_LIMIT_MILLISECONDS
+                && (now - lastContactAt <= WorkloadTimings.CONTACT_TIMEOUT_MILLISECONDS
+                        || now - noPlacerConfirmedAt <= WorkloadTimings.CONTACT_TIMEOUT_MILLISECONDS);
     }
 
     private void readNow() {
-        if (heartbeat != null && !serverLeft) {
+        if (heartbeat != null && !serverGone) {
             read(0, false);
         }
     }
@@ -232,7 +235,8 @@
         long readIncarnation = incarnation;
         long number = ++lastOperation;
         long term = highestTerm;
-        OptionalLong expires = mayRenew() ? OptionalLong.of(leaseExpiry()) : OptionalLong.empty();
+        long sentAt = clock.nowMilliseconds();
+        OptionalLong expires = mayRenew(sentAt) ? OptionalLong.of(leases.extend(sentAt)) : OptionalLong.empty();
         client.renewLeases(new BackendServerClient.LeaseRenewalRequest(
                         heartbeat.description().server(), term, acknowledged, expires, waitMilliseconds))
                 .onComplete(result -> {
@@ -243,6 +247,10 @@
                         listsRead(result.result(), number, term);
                     } else {
                         LOGGER.debug("the backend server did not answer a read", result.cause());
+                        if (hasEndedAllRuns(sentAt)) {
+                            loseServer();
+                            return;
+                        }
                     }
                     if (loop && readLoopActive) {
                         continueLoop(result.succeeded());
@@ -250,14 +258,38 @@
                 });
     }
 
+    /** Returns whether a server that did not answer a read of the given time has no active runs. */
+    private boolean hasEndedAllRuns(long sentAt) {
+        return !serverGone && sentAt - serverLastContactAt > RENEWAL_LIMIT_MILLISECONDS && leases.haveExpired(sentAt);
+    }
+
+    /** Reports the server as gone and drops its orders; reads continue without renewals until it answers. */
+    private void loseServer() {
+        LOGGER.info(
+                "backend server {} has not answered for {} ms and all its leases have expired",
+                heartbeat.description().server(),
+                clock.nowMilliseconds() - serverLastContactAt);
+        serverGone = true;
+        incarnation++;
+        startsInProgress.clear();
+        stopsInProgress.clear();
+        sendServerLeft();
+        continueLoop(false);
+    }
+
+    private void sendServerLeft() {
+        send(new WorkMessage.ServerLeft(
+                heartbeat.description().server(), heartbeat.description().incarnation()));
+    }
+
     private void continueLoop(boolean answered) {
         long readIncarnation = incarnation;
         boolean unacknowledged = !ended.isEmpty() && ended.getLast().number() > acknowledged;
         long delayMilliseconds =
                 answered ? unacknowledged ? UNACKNOWLEDGED_READ_DELAY_MILLISECONDS : 1 : RETRY_DELAY_MILLISECONDS;
-        vertx.setTimer(delayMilliseconds, timer -> {
+        vertx.setTimer(serverGone ? GONE_READ_DELAY_MILLISECONDS : delayMilliseconds, timer -> {
             if (readIncarnation == incarnation && readLoopActive) {
-                read(unacknowledged ? 0 : READ_WAIT_MILLISECONDS, true);
+                read(unacknowledged || !answered ? 0 : READ_WAIT_MILLISECONDS, true);
             }
         });
     }
@@ -269,8 +301,9 @@
             return;
         }
         serverLastContactAt = clock.nowMilliseconds();
-        updateServerClock(reply.clockMilliseconds());
-        boolean changed = !reply.ended().equals(ended) || term != listsTerm;
+        leases.clockRead(reply.clockMilliseconds(), serverLastContactAt);
+        boolean changed = serverGone || !reply.ended().equals(ended) || term != listsTerm;
+        serverGone = false;
         running = reply.running();
         ended = reply.ended();
         listsOperation = number;
@@ -281,7 +314,7 @@
     }
 
     private void report() {
-        if (heartbeat == null || serverLeft) {
+        if (heartbeat == null || serverGone) {
             return;
         }
         long now = clock.nowMilliseconds();
@@ -322,7 +355,7 @@
         }
         raiseTerm(term);
         return heartbeat != null
-                && !serverLeft
+                && !serverGone
                 && heartbeat.description().server().equals(server)
                 && heartbeat.description().incarnation() == serverIncarnation;
     }
@@ -368,7 +401,7 @@
                         order.payload(),
                         order.checkpoint(),
                         order.ticket(),
-                        leaseExpiry()))
+                        leases.extend(clock.nowMilliseconds())))
                 .onComplete(result -> {
                     if (startIncarnation != incarnation || order.term() < highestTerm) {
                         return;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
@@ -314,7 +314,8 @@
         switch (received.message()) {
             case WorkMessage.ServerReport report -> activePlacer.reportReceived(connection, report, now);
             case WorkMessage.OrderResult result -> activePlacer.orderAnswered(connection, result, now);
-            case WorkMessage.ServerLeft left -> activePlacer.serverLeft(left.server(), left.incarnation(), now);
+            case WorkMessage.ServerLeft left ->
+                activePlacer.serverLeft(connection, left.server(), left.incarnation(), now);
             case WorkMessage order ->
                 LOGGER.warn("ignored {} from an agent", order.getClass().getSimpleName());
         }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadTimings.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/WorkloadTimings.java
@@ -60,8 +60,11 @@
 
     /** Returns the time after the last contact with an agent after which all runs on its backend server have ended. */
     public long lostAfterMilliseconds() {
-        return CONTACT_TIMEOUT_MILLISECONDS
-                + (long) Math.ceil(maximumLeaseMilliseconds * CLOCK_DRIFT_FACTOR)
-                + TIMER_MARGIN_MILLISECONDS;
+        return CONTACT_TIMEOUT_MILLISECONDS + expiredAfterMilliseconds(maximumLeaseMilliseconds);
+    }
+
+    /** Returns the time after which a lease of the given duration on the clock of a backend server has expired. */
+    public static long expiredAfterMilliseconds(long leaseMilliseconds) {
+        return (long) Math.ceil(leaseMilliseconds * CLOCK_DRIFT_FACTOR) + TIMER_MARGIN_MILLISECONDS;
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -266,11 +266,13 @@
         };
     }
 
-    /** Removes a backend server that has announced its shutdown. */
-    public void serverLeft(String id, long incarnation, long now) {
+    /** Removes a backend server on which nothing runs any more, according to its agent. */
+    public void serverLeft(AgentConnection connection, String id, long incarnation, long now) {
         ServerState server = servers.get(id);
-        if (server != null && server.incarnation == incarnation) {
-            loseServer(server, "it has shut down", now);
+        if (server != null
+                && server.incarnation == incarnation
+                && connection.sequenceNumber() >= server.connectionNumber) {
+            loseServer(server, "its agent reports it as gone", now);
         }
     }
 
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -44,6 +44,9 @@
     /** Number of further starts that are refused for lack of room. */
     int refusesStarts;
 
+    /** Whether the server does not answer its agent, which reports its last lists and gets no orders carried out. */
+    boolean silent;
+
     /** How the runs of this server end. */
     EndKind endKind = EndKind.DONE;
 
@@ -160,7 +163,7 @@
 
             @Override
             public void send(WorkMessage message) {
-                if (connected) {
+                if (connected && !silent) {
                     received(message);
                 }
             }
@@ -258,11 +261,11 @@
                 agentIncarnation,
                 term,
                 draining,
-                true,
+                !silent,
                 now,
-                ++operation,
-                runningTasks(),
-                List.copyOf(ended));
+                silent ? operation : ++operation,
+                silent ? lastReport.running() : runningTasks(),
+                silent ? lastReport.ended() : List.copyOf(ended));
         outbox.add(lastReport);
     }
 
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/ServerTroubleTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/ServerTroubleTest.java
@@ -76,7 +76,7 @@
         scenario.run(100);
         assertThat(leaving.starts).hasSize(1);
         leaving.running.clear();
-        scenario.placer.serverLeft("s1", leaving.description.incarnation(), scenario.now);
+        scenario.placer.serverLeft(leaving.connection, "s1", leaving.description.incarnation(), scenario.now);
         scenario.servers.remove("s1");
         scenario.run(4_000);
         assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
@@ -84,6 +84,52 @@
         assertThat(staying.starts).hasSize(2);
     }
 
+    @Test
+    void a_task_of_a_server_that_crashed_and_does_not_return_is_run_elsewhere_once_its_agent_reports_it_as_gone() {
+        FakeServer crashed = scenario.server("s1", "r1");
+        submit("job", 1);
+        scenario.run(300);
+        crashed.silent = true;
+        FakeServer other = scenario.server("s2", "r1");
+        scenario.run(9_000);
+        assertThat(other.starts).isEmpty();
+        crashed.running.clear();
+        scenario.placer.serverLeft(crashed.connection, "s1", crashed.description.incarnation(), scenario.now);
+        scenario.servers.remove("s1");
+        scenario.run(3_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(other.starts).hasSize(1);
+    }
+
+    @Test
+    void a_server_that_answers_after_it_was_reported_as_gone_gets_tasks_again_and_stops_what_it_still_runs() {
+        FakeServer silent = scenario.server("s1", "r1");
+        submit("job", 1);
+        scenario.run(300);
+        silent.silent = true;
+        scenario.placer.serverLeft(silent.connection, "s1", silent.description.incarnation(), scenario.now);
+        scenario.run(10);
+        silent.silent = false;
+        scenario.run(5_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(silent.starts).hasSize(2);
+        assertThat(silent.stopped).contains("job.0.0.0");
+    }
+
+    @Test
+    void a_late_notice_of_an_earlier_connection_does_not_end_the_runs_of_a_server_that_is_back() {
+        FakeServer server = scenario.server("s1", "r1");
+        AgentConnection earlier = server.connection;
+        submit("job", 1);
+        scenario.run(300);
+        scenario.connect(server);
+        scenario.run(100);
+        scenario.placer.serverLeft(earlier, "s1", server.description.incarnation(), scenario.now);
+        scenario.run(4_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(server.starts).hasSize(1);
+    }
+
     @Test
     void a_job_that_can_never_be_done_fails_after_its_attempts_and_does_not_keep_others_from_running() {
         FakeServer failing = scenario.server("s1", "r1");
