Verify a departure notice before the backend server is reported as gone

A departure notice names only the identifier of a server.

After a notice, the agent reports the server as draining and reads its lists. It reports the server as gone only when a read is not answered by this incarnation, which happens at once when the process has ended. A heartbeat of the incarnation with a higher sequence number withdraws the notice; it does not bring back a server that is reported as gone, for which an answered read is needed as well, so that a heartbeat that was on its way when the server left has no effect.

An answer of another incarnation counts as no answer. Before, it was followed by the next read after 1 ms.

Ruled out: to believe the notice of a draining server without a read, because a late notice can also meet a successor that is draining.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -56,9 +56,12 @@
     private final ServerOrders orders;
     private ServerHeartbeat heartbeat;
 
-    /** Whether the server is reported as gone; it is in use again after an answer or a newer incarnation. */
+    /** Whether the server is reported as gone; it is back after an answer or with a newer incarnation. */
     private boolean serverGone;
 
+    /** Whether a departure notice names the server, which gets no new tasks unless a newer heartbeat follows. */
+    private boolean departureNoticed;
+
     private long highestTerm;
     private long lastOperation;
     private long acknowledged;
@@ -69,7 +72,6 @@
     private long listsOperation;
     private List<RunningTask> running = List.of();
     private List<EndedTask> ended = List.of();
-    private boolean readLoopActive;
     private long incarnation;
     private long lastReportAt;
     private Sender sender;
@@ -99,13 +101,15 @@
         }
         boolean newIncarnation = heartbeat == null || !isSameIncarnation(newHeartbeat);
         boolean drainingChanged = heartbeat == null || heartbeat.draining() != newHeartbeat.draining();
+        if (!newIncarnation && newHeartbeat.sequence() > heartbeat.sequence()) {
+            departureNoticed = false;
+        }
         heartbeat = newHeartbeat;
         if (newIncarnation) {
             beginIncarnation(newHeartbeat);
         }
         leases.clockRead(newHeartbeat.clockMilliseconds(), clock.nowMilliseconds());
         if (newIncarnation) {
-            readLoopActive = true;
             read(READ_WAIT_MILLISECONDS, true);
         }
         if (drainingChanged || newIncarnation) {
@@ -115,15 +119,16 @@
         }
     }
 
-    /** Records that the server has announced its shutdown and reports it to the placer. */
+    /**
+     * Processes a departure notice. It names no incarnation and may come late from one that had the same identifier, so
+     * that the server is reported as gone only if it does not answer either.
+     */
     public void serverDeparted(String server) {
         if (heartbeat != null && heartbeat.description().server().equals(server)) {
-            LOGGER.info("backend server {} has left", server);
-            serverGone = true;
-            incarnation++;
-            orders.drop();
-            readLoopActive = false;
-            sendServerLeft();
+            LOGGER.info("backend server {} has sent a departure notice", server);
+            departureNoticed = true;
+            report();
+            readNow();
         }
     }
 
@@ -201,6 +206,7 @@
                 newHeartbeat.description().server(),
                 newHeartbeat.description().incarnation());
         serverGone = false;
+        departureNoticed = false;
         incarnation++;
         acknowledged = 0;
         running = List.of();
@@ -238,32 +244,34 @@
                     if (readIncarnation != incarnation) {
                         return;
                     }
-                    if (result.succeeded()) {
+                    boolean answered = result.succeeded() && isFromCurrentIncarnation(result.result());
+                    if (answered) {
                         listsRead(result.result(), number, term);
                     } else {
                         LOGGER.debug("the backend server did not answer a read", result.cause());
-                        if (hasEndedAllRuns(sentAt)) {
+                        if (!serverGone && (departureNoticed || hasEndedAllRuns(sentAt))) {
                             loseServer();
                             return;
                         }
                     }
-                    if (loop && readLoopActive) {
-                        continueLoop(result.succeeded());
+                    if (loop) {
+                        continueLoop(answered);
                     }
                 });
     }
 
     /** Returns whether a server that did not answer a read of the given time has no active runs. */
     private boolean hasEndedAllRuns(long sentAt) {
-        return !serverGone && sentAt - serverLastContactAt > RENEWAL_LIMIT_MILLISECONDS && leases.haveExpired(sentAt);
+        return sentAt - serverLastContactAt > RENEWAL_LIMIT_MILLISECONDS && leases.haveExpired(sentAt);
     }
 
     /** Reports the server as gone and drops its orders; reads continue without renewals until it answers. */
     private void loseServer() {
         LOGGER.info(
-                "backend server {} has not answered for {} ms and all its leases have expired",
+                "backend server {} is gone: no answer for {} ms, departure notice={}",
                 heartbeat.description().server(),
-                clock.nowMilliseconds() - serverLastContactAt);
+                clock.nowMilliseconds() - serverLastContactAt,
+                departureNoticed);
         serverGone = true;
         incarnation++;
         orders.drop();
@@ -282,18 +290,22 @@
         long delayMilliseconds =
                 answered ? unacknowledged ? UNACKNOWLEDGED_READ_DELAY_MILLISECONDS : 1 : RETRY_DELAY_MILLISECONDS;
         vertx.setTimer(serverGone ? GONE_READ_DELAY_MILLISECONDS : delayMilliseconds, timer -> {
-            if (readIncarnation == incarnation && readLoopActive) {
+            if (readIncarnation == incarnation) {
                 read(unacknowledged || !answered ? 0 : READ_WAIT_MILLISECONDS, true);
             }
         });
     }
 
-    private void listsRead(BackendServerClient.LeaseRenewalResponse reply, long number, long term) {
-        if (reply.startMilliseconds() != 0
-                && reply.startMilliseconds() != heartbeat.description().incarnation()) {
+    private boolean isFromCurrentIncarnation(BackendServerClient.LeaseRenewalResponse reply) {
+        boolean current = reply.startMilliseconds() == 0
+                || reply.startMilliseconds() == heartbeat.description().incarnation();
+        if (!current) {
             LOGGER.info("another incarnation of the backend server answered; waiting for its heartbeat");
-            return;
         }
+        return current;
+    }
+
+    private void listsRead(BackendServerClient.LeaseRenewalResponse reply, long number, long term) {
         serverLastContactAt = clock.nowMilliseconds();
         leases.clockRead(reply.clockMilliseconds(), serverLastContactAt);
         boolean changed = serverGone || !reply.ended().equals(ended) || term != listsTerm;
@@ -317,7 +329,7 @@
                 heartbeat.description(),
                 agentIncarnation,
                 listsTerm,
-                heartbeat.draining(),
+                !acceptsTasks(),
                 now - serverLastContactAt <= UNRESPONSIVE_AFTER_MILLISECONDS,
                 now,
                 listsOperation,
@@ -325,6 +337,10 @@
                 ended));
     }
 
+    private boolean acceptsTasks() {
+        return !heartbeat.draining() && !departureNoticed;
+    }
+
     private void send(WorkMessage message) {
         if (sender != null) {
             sender.send(message);
@@ -365,7 +381,7 @@
     private final class OrderListener implements ServerOrders.Listener {
         @Override
         public boolean acceptsTasks() {
-            return !heartbeat.draining();
+            return WorkAgent.this.acceptsTasks();
         }
 
         @Override
