--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/JobSpecification.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/JobSpecification.java
@@ -26,9 +26,17 @@
         long intervalMilliseconds,
         int occurrences,
         Optional<QueueSettings> queueSettings) {
-    /** Creates a specification with a copy of the list. */
+    /** Largest number of tasks of a job in all its occurrences. */
+    private static final long MAXIMUM_TASKS = 100_000;
+
+    /** Creates a specification with a copy of the list; fails if the job has too many tasks in all occurrences. */
     public JobSpecification {
         steps = List.copyOf(steps);
+        long tasks = Math.max(1, occurrences)
+                * steps.stream().mapToLong(StepSpecification::count).sum();
+        if (tasks > MAXIMUM_TASKS) {
+            throw new IllegalArgumentException(tasks + " tasks in all occurrences");
+        }
     }
 
     /** Creates a specification without the settings of the queue. */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -6,6 +6,7 @@
 import io.vertx.core.json.JsonObject;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -53,7 +54,7 @@
                         id,
                         json.getString("queue"),
                         json.getString("team"),
-                        json.getString("payload"),
+                        textOrEmpty(json, "payload"),
                         JsonArrays.objects(json.getJsonArray("steps"))
                                 .map(WorkloadJson::step)
                                 .toList(),
@@ -169,6 +170,11 @@
                 .put("mayMiss", step.maximumUnavailable());
     }
 
+    /** Returns a text, empty if it is null: earlier versions accepted jobs with such a field. */
+    private static String textOrEmpty(JsonObject json, String name) {
+        return Objects.requireNonNullElse(json.getString(name), "");
+    }
+
     private static StepSpecification step(JsonObject json) {
         return new StepSpecification(
                 json.getInteger("count"),
@@ -178,8 +184,8 @@
                 json.getBoolean("checkpointing"),
                 json.getBoolean("gang"),
                 json.getBoolean("sameRack"),
-                json.getString("selector"),
-                json.getString("affinityRack"),
+                textOrEmpty(json, "selector"),
+                textOrEmpty(json, "affinityRack"),
                 json.getInteger("maximumPerServer"),
                 json.getBoolean("longRunning"),
                 json.getBoolean("fills"),
