Do not take the election from a placer whose host does not answer

Callers would see jobs that are accepted and not run while a network partition lies between two entries: they take the election from each other about once a second, and no placer stays long enough to read the stored jobs, to hear from the agents and to place.

Cause: the failure detector counts two refused connections as the end of the placer's process, and it recognised a refusal by ConnectException. The exception of an attempt that times out is a subclass of it, so that a partition or a suspended VM counted as a refusal after 1.1 s. The takeover also came before the time that the timings of a lost server assume, because the former placer was alive and answered agents until it noticed.

A closed port is still detected. That two entries alternate was found by reading TermElection and was not played.

Consequence: the placer on a VM that is gone without refusing connections is replaced when its lease of 2 s expires, no longer after two timeouts.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerFailureDetector.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerFailureDetector.java
@@ -1,5 +1,6 @@
 package org.teaselwood.workload.entry;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
@@ -71,7 +72,7 @@
             } else if (result.succeeded()) {
                 socket = result.result();
                 socket.closeHandler(closed -> reconnectLater(placer, 1, false));
-            } else if (!(result.cause() instanceof ConnectException)) {
+            } else if (!isRefusal(result.cause())) {
                 reconnectLater(placer, RETRY_DELAY_MILLISECONDS, false);
             } else if (refusedBefore) {
                 LOGGER.info("placer {} of term {} refuses connections", placer.entry(), placer.term());
@@ -83,6 +84,14 @@
         });
     }
 
+    /**
+     * Returns whether the host of the placer refused the connection. A timeout is no refusal: during a network
+     * partition the placer remains elected and two entries would take the election from each other.
+     */
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     private void reconnectLater(PlacerLocation placer, long delayMilliseconds, boolean refusedBefore) {
         vertx.setTimer(delayMilliseconds, timer -> {
             if (location == placer) {
