Plan preemption within the limit per server

Callers saw runs preempted for nothing and servers that stayed idle: a plan of preemption ignored the step's maximum number of tasks per server. It put all tasks where the victims lost least, and the placement then started only as many there as the limit allows. A gang started not at all, and its reservation was renewed for as long as it waited, which kept all other work out.

A plan now counts the tasks that it puts on each server. If the limit leaves too few servers, a gang preempts nothing, and of other steps the tasks that fit are started. The same count replaces the one within a pass, which counted a placed task twice, once as placed and once as a run on record, so that a pass filled only half of the limit.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreeCapacity.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreeCapacity.java
@@ -19,7 +19,6 @@
  */
 final class FreeCapacity {
     private final Map<ServerState, Resources> free = new LinkedHashMap<>();
-    private final Map<ServerState, Integer> placedByStep = new LinkedHashMap<>();
     private final long now;
 
     FreeCapacity(Collection<ServerState> servers, long now) {
@@ -29,15 +28,14 @@
                 .forEach(server -> free.put(server, server.free()));
     }
 
-    private FreeCapacity(Map<ServerState, Resources> free, Map<ServerState, Integer> placedByStep, long now) {
+    private FreeCapacity(Map<ServerState, Resources> free, long now) {
         this.now = now;
         this.free.putAll(free);
-        this.placedByStep.putAll(placedByStep);
     }
 
     /** Returns an independent copy for a trial placement. */
     FreeCapacity copy() {
-        return new FreeCapacity(free, placedByStep, now);
+        return new FreeCapacity(free, now);
     }
 
     Resources freeOn(ServerState server) {
@@ -80,16 +78,6 @@
         free.computeIfPresent(server, (key, current) -> current.plus(resources));
     }
 
-    /** Counts a task of the current step towards its limit per server. */
-    void countPlacement(ServerState server) {
-        placedByStep.merge(server, 1, Integer::sum);
-    }
-
-    /** Resets the counts of {@link #countPlacement} before the next step. */
-    void resetPlacementCounts() {
-        placedByStep.clear();
-    }
-
     /** Returns the eligible servers with enough free resources for one task of the step. */
     Stream<ServerState> fitting(String service, StepState step) {
         Resources perTask = step.specification.reserved();
@@ -125,7 +113,7 @@
         return servers.filter(server -> server.description.service().equals(service))
                 .filter(server -> specification.selector().isEmpty()
                         || server.description.labels().contains(specification.selector()))
-                .filter(server -> withinLimit(server, step));
+                .filter(server -> isWithinLimit(server, step, 0));
     }
 
     /** Returns the eligible servers by rack, sorted by the name of the rack. */
@@ -134,14 +122,19 @@
                 .collect(Collectors.groupingBy(server -> server.description.rack(), TreeMap::new, Collectors.toList()));
     }
 
-    private boolean withinLimit(ServerState server, StepState step) {
+    /**
+     * Returns whether a further task of the step would keep to its limit per server.
+     *
+     * @param planned number of tasks of the step that are to run on the server besides the runs on record
+     */
+    static boolean isWithinLimit(ServerState server, StepState step, int planned) {
         int limit = step.specification.maximumPerServer();
         if (limit == 0) {
             return true;
         }
         long present =
                 server.runs.values().stream().filter(run -> run.step == step).count();
-        return present + placedByStep.getOrDefault(server, 0) < limit;
+        return present + planned < limit;
     }
 
     /** Returns whether the step would put best-effort and latency-sensitive tasks together on the server. */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -143,7 +143,6 @@
                 preemptRuns(candidate, step);
             }
         }
-        freeCapacity.resetPlacementCounts();
     }
 
     private void requestAdvice(Candidate candidate, StepState step, AdviceSettings settings) {
@@ -207,7 +206,6 @@
                 break;
             }
             start(candidate.job(), step, task, server.get(), step.nextAttempt(task));
-            freeCapacity.countPlacement(server.get());
         }
         return allPlaced;
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Preemption.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Preemption.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -65,19 +66,25 @@
         Resources perTask = step.specification.reserved();
         Set<Run> victims = new LinkedHashSet<>();
         Map<String, Resources> taken = new LinkedHashMap<>();
+        Map<ServerState, Integer> planned = new HashMap<>();
         for (TaskState task : waiting) {
             Optional<Choice> best = servers.stream()
                     .filter(server -> quarantine.admits(server, task))
+                    .filter(server -> FreeCapacity.isWithinLimit(server, step, planned.getOrDefault(server, 0)))
                     .map(server -> chooseVictims(freeCapacity, server, perTask, victims, rules))
                     .flatMap(Optional::stream)
                     .min(Comparator.comparingDouble(Choice::loss));
             if (best.isEmpty()) {
-                return Optional.empty();
+                if (step.gang() || step.specification.maximumPerServer() == 0 || taken.isEmpty()) {
+                    return Optional.empty();
+                }
+                break; // The limit per server leaves too few servers; the tasks that fit start without the others.
             }
             Choice choice = best.get();
             choice.victims().forEach(run -> addWithGang(run, victims, freeCapacity));
             freeCapacity.allocate(choice.server(), perTask);
             taken.merge(choice.server().id, perTask, Resources::plus);
+            planned.merge(choice.server(), 1, Integer::sum);
         }
         double loss = victims.stream().mapToDouble(rules.loss()).sum();
         return Optional.of(new Plan(victims, taken, loss));
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerChoice.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerChoice.java
@@ -100,12 +100,11 @@
             FreeCapacity freeCapacity, List<ServerState> servers, StepState step, Quarantine quarantine, long now) {
         Map<TaskState, ServerState> placement = new LinkedHashMap<>();
         Resources perTask = step.specification.reserved();
-        int limit = step.specification.maximumPerServer();
         Map<ServerState, Integer> taken = new LinkedHashMap<>();
         for (TaskState member : step.tasks) {
             Optional<ServerState> chosen = servers.stream()
                     .filter(server -> quarantine.admits(server, member))
-                    .filter(server -> limit == 0 || taken.getOrDefault(server, 0) < limit)
+                    .filter(server -> FreeCapacity.isWithinLimit(server, step, taken.getOrDefault(server, 0)))
                     .filter(server -> freeCapacity.freeOn(server).covers(perTask))
                     .min(preference(freeCapacity, step, member, now));
             if (chosen.isEmpty()) {
