Withdraw starts that a shrunk capacity no longer holds

Two starts went out beyond the newest reported capacity: those whose attempt was still being stored when the report arrived, and those repeated after a change of the agent's connection.

After each report, starts whose orders have not been sent are withdrawn, newest first, until the capacity holds the rest; the members of a gang are withdrawn together. Nothing was ordered, so the tasks are placed again at once. After a change of the connection, a start that is not in the server's list and that the capacity no longer holds is stopped instead of repeated.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
@@ -108,16 +108,39 @@
         }
     }
 
+    /**
+     * Withdraws starts whose orders have not been sent, newest first, as far as the reported capacity no longer holds
+     * them.
+     */
+    void withdrawStartsBeyondCapacity(ServerState server, long now) {
+        List<Run> unsent = server.runs.values().stream()
+                .filter(run -> run.state == RunState.RECORDING)
+                .toList();
+        unsent.reversed().stream()
+                .filter(run -> run.state == RunState.RECORDING && server.runs.containsValue(run))
+                .filter(server::exceedsCapacity)
+                .forEach(run -> {
+                    LOGGER.info(
+                            "start of task {} attempt {} withdrawn: the capacity of backend server {} has shrunk",
+                            run.task.name,
+                            run.attempt,
+                            server.id);
+                    lifecycle.stop(run, now);
+                });
+    }
+
     /**
      * Repeats orders whose answers may be lost: all orders after a change of the connection, and orders that stay
-     * unconfirmed on the same connection, because this placer ignores answers while its election is not renewed.
+     * unconfirmed on the same connection, because this placer ignores answers while its election is not renewed. A
+     * start that the reported capacity no longer holds is stopped instead.
      */
     void repeatOrders(ServerState server, long now) {
         boolean connectionChanged = server.ordersMayBeLost;
         server.ordersMayBeLost = false;
-        server.runs.values().stream()
+        List<Run> unconfirmed = server.runs.values().stream()
                 .filter(run -> connectionChanged || isOverdue(run, now))
-                .forEach(run -> repeatOrder(run, now));
+                .toList();
+        unconfirmed.forEach(run -> repeatOrder(run, now));
     }
 
     private static boolean isOverdue(Run run, long now) {
@@ -132,7 +155,9 @@
 
     private void repeatOrder(Run run, long now) {
         run.unconfirmedSince = now;
-        if (run.state == RunState.ORDERED) {
+        if (run.state == RunState.ORDERED && run.server.exceedsCapacity(run)) {
+            lifecycle.stop(run, now);
+        } else if (run.state == RunState.ORDERED) {
             lifecycle.sendStart(run);
         } else if (run.state == RunState.STOPPING) {
             run.confirmedOperation = -1;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
@@ -95,6 +95,18 @@
         return free;
     }
 
+    /**
+     * Returns whether the run uses a resource of which the runs on record need more than the reported capacity; only a
+     * capacity that shrinks, or a run that is not on record, leads to this.
+     */
+    boolean exceedsCapacity(Run run) {
+        Resources free = free();
+        Resources used = run.reserved();
+        return free.milliCores() < 0 && used.milliCores() > 0
+                || free.memoryMebibytes() < 0 && used.memoryMebibytes() > 0
+                || free.accelerators() < 0 && used.accelerators() > 0;
+    }
+
     /** Returns whether new tasks may be placed on the server. */
     boolean isUsable(long now, long unresponsiveAfterMilliseconds) {
         return hasReported()
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -198,6 +198,7 @@
             pacing.adjust(server, now);
             reconciliation.repeatOrders(server, now);
         }
+        reconciliation.withdrawStartsBeyondCapacity(server, now);
         connection.send(new WorkMessage.Contact(
                 term, report.sentMilliseconds(), server.id, server.incarnation, server.lastAcknowledgedEnd));
         if (changed) {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -24,7 +24,7 @@
     private static final int REPORT_MILLISECONDS = 500;
     private static final int SLOW_READ_MILLISECONDS = 150;
 
-    final ServerDescription description;
+    ServerDescription description;
     final Map<String, Long> running = new LinkedHashMap<>();
     final List<EndedTask> ended = new ArrayList<>();
     final List<String> acknowledgedSuccesses = new ArrayList<>();
@@ -136,6 +136,21 @@
         this.workMilliseconds = workMilliseconds;
     }
 
+    /** Changes the capacity, which the next report shows. */
+    void changeCapacity(Resources capacity) {
+        description = new ServerDescription(
+                description.server(),
+                description.incarnation(),
+                description.host(),
+                description.service(),
+                description.dataCentre(),
+                description.rack(),
+                description.labels(),
+                capacity.milliCores(),
+                capacity.memoryMebibytes(),
+                capacity.accelerators());
+    }
+
     /** Delivers the last report of the previous connection late and twice. */
     void deliverLateReports(WorkPlacer placer, long at) {
         if (oldConnection != null && connected) {
