Give up a task that crashes the backend servers that start it

Callers saw other jobs interrupted again and again: a task that crashes its server was started 12 to 14 times, one server every 3.3 s, because a crash counted as nothing.

A crash is now the replacement of a server by a newer incarnation on its VM without an announced departure. It is recorded with every task that the server had just started, in the same write that removes the run, once for each incarnation. CrashHistory decides: a task is given up, and its job shown as FAILED, after two conclusive crashes (no other run and no other loss of a server explains them) or three suspicious ones, on two VMs at least; and whatever the evidence, at most two starts follow the third crash, also under other placers. The record is appended to the stored task; earlier builds ignore it.

Sound tasks are protected in four ways. Crashes of more than three servers at about the same time, of servers out of contact, and those whose run an earlier placer started are weak evidence. A VM whose agent was replaced too was restarted as a whole, which is no evidence. A task with a checkpoint has worked before and is not suspected. A server that outlives the start by 2 s clears the task.

To limit the damage, only one suspected task of a step is started after a crash, and the others wait until it has survived. A suspected task is placed on another VM, the emptiest one, and nothing else is placed there meanwhile, as long as this takes at most a quarter of the servers out of use.

--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
@@ -0,0 +1,140 @@
+package org.teaselwood.workload.placer;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaselwood.protocol.message.WorkMessage.ServerReport;
+import org.teaselwood.workload.model.WorkloadTimings;
+import org.teaselwood.workload.record.CrashHistory;
+import org.teaselwood.workload.record.CrashHistory.Evidence;
+
+/**
+ * Attributes crashes of backend servers to the runs that they had started shortly before. Mutable; confined to the
+ * placer's duty thread.
+ *
+ * <p>A crash is the replacement of a server by a newer incarnation on its VM without an announced departure. If the
+ * agent process was replaced too, the whole VM was restarted, which a task cannot cause. Invariant: a crash is stored
+ * in the same write as the removal of the run, so that a new placer neither misses it nor counts it twice.
+ */
+final class CrashMonitor {
+    private static final Logger LOGGER = LoggerFactory.getLogger(CrashMonitor.class);
+
+    /** Time for which a server has to outlive the start of a task to prove the task harmless. */
+    static final long CRASH_WINDOW_MILLISECONDS = 2_000;
+
+    /** Time between the last signs of life of two servers up to which they may have crashed from a common cause. */
+    private static final long SIMULTANEOUS_MILLISECONDS = 2_000;
+
+    /** Time for which a crash under other tasks shows that servers crash for other reasons. */
+    private static final long MEMORY_MILLISECONDS = 30_000;
+
+    /** Number of other servers that may be lost at the same time without explaining the crash. */
+    private static final int MAXIMUM_SIMULTANEOUS_SERVERS = 2;
+
+    private final Map<String, ServerState> servers;
+    private final JobWrites writes;
+    private final RunLifecycle lifecycle;
+    private final Deque<RecentCrash> recentCrashes = new ArrayDeque<>();
+
+    private record RecentCrash(long at, ServerState server, Set<StepState> suspects) {}
+
+    CrashMonitor(Map<String, ServerState> servers, JobWrites writes, RunLifecycle lifecycle) {
+        this.servers = servers;
+        this.writes = writes;
+        this.lifecycle = lifecycle;
+    }
+
+    /** Attributes the crash of a server that is replaced by a newer incarnation; its runs are still on record. */
+    void serverReplaced(ServerState server, ServerReport successor, long now) {
+        if (server.draining) {
+            return;
+        }
+        boolean vmRestarted = server.hasReported() && server.agentIncarnation != successor.agentIncarnation();
+        while (!recentCrashes.isEmpty() && now - recentCrashes.peekFirst().at() > MEMORY_MILLISECONDS) {
+            recentCrashes.pollFirst();
+        }
+        List<Run> suspects = server.runs.values().stream()
+                .filter(run -> !vmRestarted && run.mayHaveStarted() && !run.survivedStart)
+                .filter(run -> run.step.checkpointFor(run.task).isEmpty())
+                .toList();
+        boolean weak = !isInContact(server, now) || simultaneousLosses(server, now) > MAXIMUM_SIMULTANEOUS_SERVERS;
+        for (Run run : suspects) {
+            Evidence evidence = weak || run.isTakenOver() ? Evidence.WEAK : evidenceAgainst(run, suspects, now);
+            run.task.crashes = run.task.crashes.with(new CrashHistory.Crash(server.host, server.incarnation, evidence));
+            run.step.heldAfterCrash = true;
+            writes.markChanged(run.job);
+            LOGGER.warn(
+                    "backend server {} crashed after the start of task {} attempt {}: crash {} of this task, {}",
+                    server.id,
+                    run.task.name,
+                    run.attempt,
+                    run.task.crashes.crashes().size(),
+                    evidence);
+        }
+        recentCrashes.addLast(new RecentCrash(
+                now, server, suspects.stream().map(run -> run.step).collect(Collectors.toSet())));
+    }
+
+    /** Returns the number of other servers that crashed, or are lost now, since about the same time. */
+    private long simultaneousLosses(ServerState crashed, long now) {
+        return Stream.concat(recentCrashes.stream().map(RecentCrash::server), serversInTrouble(now))
+                .filter(server -> !server.host.equals(crashed.host)
+                        && Math.abs(server.respondedAt - crashed.respondedAt) <= SIMULTANEOUS_MILLISECONDS)
+                .count();
+    }
+
+    private Stream<ServerState> serversInTrouble(long now) {
+        return servers.values().stream()
+                .filter(server -> server.hasReported() && !(server.responsive && isInContact(server, now)));
+    }
+
+    private static boolean isInContact(ServerState server, long now) {
+        return server.connection != null
+                && now - server.lastContactAt <= WorkloadTimings.UNRESPONSIVE_AFTER_MILLISECONDS;
+    }
+
+    /**
+     * Weighs the crash against the other runs that the server had just started and the other losses of servers. Orders
+     * that were not confirmed may have reached the server only after its crash.
+     */
+    private Evidence evidenceAgainst(Run run, List<Run> suspects, long now) {
+        boolean othersStarted = suspects.stream()
+                .anyMatch(other -> other.step != run.step && (other.isConfirmed() || other.isTakenOver()));
+        if (!run.isConfirmed()) {
+            return othersStarted ? Evidence.WEAK : Evidence.SUSPICIOUS;
+        }
+        boolean othersLost =
+                recentCrashes.stream().anyMatch(crash -> !crash.suspects().contains(run.step))
+                        || serversInTrouble(now).anyMatch(server -> !server.host.equals(run.server.host))
+                        || simultaneousLosses(run.server, now) > 0;
+        return othersStarted || othersLost ? Evidence.SUSPICIOUS : Evidence.CONCLUSIVE;
+    }
+
+    /** Clears the tasks whose servers have outlived the start. */
+    void check(long now) {
+        servers.values().stream()
+                .flatMap(server -> server.runs.values().stream())
+                .filter(run -> !run.survivedStart
+                        && run.state == RunState.RUNNING
+                        && run.server.respondedAt - run.confirmedAt >= CRASH_WINDOW_MILLISECONDS)
+                .toList()
+                .forEach(this::clear);
+    }
+
+    private void clear(Run run) {
+        run.survivedStart = true;
+        if (run.task.crashes.isSuspected()) {
+            LOGGER.info("task {} attempt {} has survived its start", run.task.name, run.attempt);
+            run.task.crashes = CrashHistory.NONE;
+            run.step.heldAfterCrash = false;
+            writes.markChanged(run.job);
+            lifecycle.markChanged();
+        }
+    }
+}
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
@@ -55,6 +55,7 @@
         }
         if (run != null && task.run == run) {
             task.run = null;
+            task.crashes = task.crashes.withoutStart();
         }
         if (ended.attempt() >= task.attempt) {
             step.saveCheckpoint(task, ended.checkpoint());
@@ -71,6 +72,7 @@
         switch (ended.kind()) {
             case DONE -> {
                 server.countSuccess();
+                step.heldAfterCrash = false;
                 if (!step.specification.longRunning()) {
                     List<TaskState> finished = step.gang() ? step.tasks : List.of(task);
                     finished.forEach(member -> member.done = true);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreeCapacity.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/FreeCapacity.java
@@ -18,14 +18,21 @@
  * every order is not overloaded.
  */
 final class FreeCapacity {
+    /** Number of servers for each one that may be taken out of use at a time. */
+    private static final int SERVERS_PER_ISOLATED_SERVER = 4;
+
     private final Map<ServerState, Resources> free = new LinkedHashMap<>();
     private final long now;
+    private int isolated;
 
     FreeCapacity(Collection<ServerState> servers, long now) {
         this.now = now;
         servers.stream()
                 .filter(server -> server.isUsable(now, WorkloadTimings.UNRESPONSIVE_AFTER_MILLISECONDS))
                 .forEach(server -> free.put(server, server.free()));
+        List.copyOf(free.keySet()).stream()
+                .filter(server -> server.runs.values().stream().anyMatch(Run::needsIsolation))
+                .forEach(this::isolate);
     }
 
     private FreeCapacity(Map<ServerState, Resources> free, long now) {
@@ -38,6 +45,17 @@
         return new FreeCapacity(free, now);
     }
 
+    /**
+     * Places nothing more on a server that a new run may crash, as long as no more than a share of the servers is taken
+     * out of use.
+     */
+    void isolate(ServerState server) {
+        int total = free.size() + isolated;
+        if (isolated < Math.max(1, total / SERVERS_PER_ISOLATED_SERVER) && total > 1 && free.remove(server) != null) {
+            isolated++;
+        }
+    }
+
     Resources freeOn(ServerState server) {
         return free.getOrDefault(server, Resources.NONE);
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobRestoration.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobRestoration.java
@@ -1,6 +1,7 @@
 package org.teaselwood.workload.placer;
 
 import java.util.Map;
+import org.teaselwood.workload.record.CrashHistory;
 import org.teaselwood.workload.record.StepRecord;
 import org.teaselwood.workload.record.TaskRecord;
 
@@ -33,6 +34,7 @@
             TaskState task = step.tasks.get(index);
             TaskRecord taskRecord = stepRecord.tasks().get(index);
             task.restore(taskRecord);
+            step.heldAfterCrash |= !task.done && task.crashes.isSuspected();
             if (!taskRecord.server().isEmpty()) {
                 restoreRun(job, step, task, taskRecord, now);
             }
@@ -45,9 +47,13 @@
         if (server.incarnation != taskRecord.serverIncarnation()) {
             // The run belongs to another incarnation of the server; only the later of the two can still be active.
             if (taskRecord.serverIncarnation() < server.incarnation) {
+                recordCrash(step, task, taskRecord.host(), taskRecord.serverIncarnation());
                 return;
             }
-            server.runs.values().forEach(earlier -> earlier.task.run = null);
+            for (Run earlier : server.runs.values()) {
+                earlier.task.run = null;
+                recordCrash(earlier.step, earlier.task, server.host, server.incarnation);
+            }
             server = new ServerState(taskRecord.server(), taskRecord.serverIncarnation(), taskRecord.host(), now);
             servers.put(server.id, server);
         }
@@ -55,4 +61,13 @@
         server.runs.put(run.key(), run);
         task.run = run;
     }
+
+    /** Records that a newer incarnation has replaced the server of a run that may have been its cause. */
+    private static void recordCrash(StepState step, TaskState task, String host, long incarnation) {
+        if (!step.checkpointFor(task).isEmpty()) {
+            return;
+        }
+        task.crashes = task.crashes.with(new CrashHistory.Crash(host, incarnation, CrashHistory.Evidence.WEAK));
+        step.heldAfterCrash = true;
+    }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -197,7 +197,7 @@
                 .filter(task -> task.isWaiting() && task.notBefore <= now)
                 .toList();
         boolean allPlaced = true;
-        for (TaskState task : waiting) {
+        for (TaskState task : CrashHold.startable(step, waiting)) {
             Optional<ServerState> server = isExcludedFromReserve(candidate, step)
                     ? Optional.empty()
                     : ServerChoice.forTask(freeCapacity, candidate.queue().service(), step, task, now);
@@ -214,6 +214,9 @@
         freeCapacity.allocate(server, step.specification.reserved());
         step.lastStartAt = now;
         actions.start(job, step, task, server, attempt);
+        if (task.run.needsIsolation()) {
+            freeCapacity.isolate(server);
+        }
     }
 
     private void preemptRuns(Candidate candidate, StepState step) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
@@ -35,11 +35,12 @@
     }
 
     /**
-     * Records the incarnation of the agent process. Called for every report, including those without lists of the
-     * current term: if the change were detected only with the first lists, these would appear newer than a start that
-     * the process carried out while it read them.
+     * Records the incarnation of the agent process and when the server last answered it. Called for every report,
+     * including those without lists of the current term: if the change were detected only with the first lists, these
+     * would appear newer than a start that the process carried out while it read them.
      */
-    void updateAgentIncarnation(ServerState server, ServerReport report) {
+    void updateAgentIncarnation(ServerState server, ServerReport report, long now) {
+        server.recordResponse(report, now);
         if (server.agentIncarnation != report.agentIncarnation()) {
             server.agentIncarnation = report.agentIncarnation();
             server.runs.values().stream()
@@ -68,7 +69,7 @@
                 .toList();
         missing.forEach(run -> {
             LOGGER.info("task {} attempt {} is no longer on backend server {}", run.task.name, run.attempt, server.id);
-            lifecycle.remove(run, now);
+            lifecycle.removeHarmless(run, now);
         });
         server.reconciled = true;
     }
@@ -99,9 +100,7 @@
             run.estimateEarlierWork();
         }
         if (run.state == RunState.ORDERED || run.state == RunState.RECOVERED) {
-            run.state = RunState.RUNNING;
-            run.progressAt = now;
-            run.confirmedOperation = operation;
+            run.confirm(now, operation);
             if (run.job.phase.isFinal() && run.job.phase != JobPhase.COMPLETED) {
                 lifecycle.stop(run, now);
             }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -37,6 +37,15 @@
     /** Estimated run time before this placer took the run over, in milliseconds; 0 if this placer started it. */
     private long earlierMilliseconds;
 
+    /** Time at which the server confirmed the run to this placer, in milliseconds; negative before. */
+    long confirmedAt = -1;
+
+    /** Whether the server is known to have outlived the start of the run. */
+    boolean survivedStart;
+
+    /** Whether the run is kept apart from others because servers crashed after earlier starts of its task. */
+    private final boolean isolated;
+
     int percent;
     private final boolean createdUnderThisPlacer;
     private final boolean startedWithoutCheckpoint;
@@ -66,6 +75,7 @@
         this.startedAt = now;
         this.progressAt = now;
         this.createdUnderThisPlacer = state != RunState.RECOVERED;
+        this.isolated = task.crashes.isSuspicious() || step.heldAfterCrash && task.crashes.isSuspected();
         this.startedWithoutCheckpoint = step.checkpointFor(task).isEmpty();
         this.pace = state == RunState.RECOVERED ? -1 : Pacing.FULL_PERCENT;
     }
@@ -83,6 +93,33 @@
         return state == RunState.ORDERED || state == RunState.STOPPING && confirmedOperation < 0;
     }
 
+    /** Records that the server has the run, as of the given call of its agent. */
+    void confirm(long now, long operation) {
+        state = RunState.RUNNING;
+        confirmedAt = now;
+        progressAt = now;
+        confirmedOperation = operation;
+    }
+
+    boolean isConfirmed() {
+        return confirmedAt >= 0;
+    }
+
+    /** Returns whether an earlier placer created the run, so that the time of its start is unknown. */
+    boolean isTakenOver() {
+        return !createdUnderThisPlacer;
+    }
+
+    /** Returns whether an order to start the run may have reached the server. */
+    boolean mayHaveStarted() {
+        return startsSent > 0 || isTakenOver();
+    }
+
+    /** Returns whether other tasks should stay off the server because this run may crash it. */
+    boolean needsIsolation() {
+        return isolated && !survivedStart;
+    }
+
     /** Returns whether a long-running task has completed its start-up. */
     boolean isReady() {
         return state == RunState.RUNNING && isComplete();
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
@@ -46,6 +46,7 @@
     void start(JobState job, StepState step, TaskState task, ServerState server, int attempt, long now) {
         Run run = new Run(job, step, task, attempt, server, RunState.RECORDING, now);
         task.attempt = attempt;
+        task.crashes = task.crashes.withStart();
         task.run = run;
         server.runs.put(run.key(), run);
         if (job.phase == JobPhase.QUEUED) {
@@ -91,7 +92,7 @@
 
     void stop(Run run, long now) {
         switch (run.state) {
-            case RECORDING -> remove(run, now);
+            case RECORDING -> removeHarmless(run, now);
             case ORDERED, RECOVERED, RUNNING -> {
                 run.state = RunState.STOPPING;
                 run.confirmedOperation = -1;
@@ -103,6 +104,12 @@
         }
     }
 
+    /** Removes a run that is known not to have started or to have ended on a server that is still up. */
+    void removeHarmless(Run run, long now) {
+        run.task.crashes = run.task.crashes.withoutStart();
+        remove(run, now);
+    }
+
     /** Removes a run that is known to have ended and whose end the server will not report. */
     void remove(Run run, long now) {
         run.server.runs.remove(run.key());
@@ -125,11 +132,14 @@
         if (job.phase.isFinal()) {
             return;
         }
+        boolean crashing = job.steps.stream()
+                .flatMap(step -> step.tasks.stream())
+                .anyMatch(task -> !task.done && task.crashes.isGivenUp(task.run != null));
         boolean exhausted = job.steps.stream()
                 .filter(step -> !step.specification.longRunning())
                 .flatMap(step -> step.tasks.stream())
                 .anyMatch(task -> !task.done && task.failures() >= job.maximumAttempts);
-        if (exhausted) {
+        if (exhausted || crashing) {
             finish(job, JobPhase.FAILED, now);
         } else if (job.steps.stream().allMatch(StepState::done)) {
             finish(job, JobPhase.COMPLETED, now);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerChoice.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerChoice.java
@@ -120,7 +120,9 @@
     private static Comparator<ServerState> preference(
             FreeCapacity freeCapacity, StepState step, TaskState task, long now) {
         String rack = step.specification.affinityRack();
-        return Comparator.comparingInt((ServerState server) -> Quarantine.contains(server, now) ? 1 : 0)
+        return Comparator.comparingInt((ServerState server) -> task.crashes.contains(server.host) ? 1 : 0)
+                .thenComparingInt(server -> task.crashes.isSuspected() ? server.runs.size() : 0)
+                .thenComparingInt(server -> Quarantine.contains(server, now) ? 1 : 0)
                 .thenComparingInt(server -> task.failedOn.contains(server.id) ? 1 : 0)
                 .thenComparingInt(server -> FreeCapacity.interferes(server, step.specification) ? 1 : 0)
                 .thenComparingInt(
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/ServerState.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import org.teaselwood.protocol.message.WorkMessage;
 import org.teaselwood.protocol.message.WorkMessage.ServerDescription;
+import org.teaselwood.protocol.message.WorkMessage.ServerReport;
 import org.teaselwood.workload.model.Resources;
+import org.teaselwood.workload.model.WorkloadTimings;
 
 /**
  * State of one incarnation of a backend server. Mutable; confined to the placer's duty thread.
@@ -47,6 +49,12 @@
     /** Time of the last contact with the agent, in milliseconds. */
     long lastContactAt;
 
+    /** Number of the agent's newest call that the server has answered. */
+    private long answeredOperation;
+
+    /** Latest time at which the server is known to have announced itself or answered its agent, in milliseconds. */
+    long respondedAt;
+
     boolean draining;
     boolean responsive = true;
     boolean reconciled;
@@ -64,6 +72,7 @@
         this.incarnation = incarnation;
         this.host = host;
         this.lastContactAt = now;
+        this.respondedAt = now;
     }
 
     /** Sends a message to the agent; drops it if there is no connection. */
@@ -73,6 +82,17 @@
         }
     }
 
+    /**
+     * Records when the server last answered its agent: at most one report interval before the first report with a newer
+     * call. Called before the incarnation of the agent process is updated.
+     */
+    void recordResponse(ServerReport report, long now) {
+        if (report.agentIncarnation() == agentIncarnation && report.operation() > answeredOperation) {
+            respondedAt = now - WorkloadTimings.REPORT_INTERVAL_MILLISECONDS;
+        }
+        answeredOperation = report.operation();
+    }
+
     /**
      * Returns whether the agent has reported to this placer; otherwise the server is known only from stored records.
      */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/StepState.java
@@ -21,6 +21,9 @@
     /** Reservation of capacity that is being freed for this step. */
     CapacityReservation reservation = CapacityReservation.NONE;
 
+    /** Whether most tasks wait because a server crashed after the start of one, and none has survived since. */
+    boolean heldAfterCrash;
+
     /** Whether a checkpoint has changed since the record of the step was last encoded. */
     boolean hasUnstoredCheckpoint;
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/TaskState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/TaskState.java
@@ -6,6 +6,7 @@
 import java.util.SortedSet;
 import java.util.TreeSet;
 import org.teaselwood.workload.model.TaskName;
+import org.teaselwood.workload.record.CrashHistory;
 import org.teaselwood.workload.record.TaskRecord;
 
 /**
@@ -28,6 +29,9 @@
     boolean done;
     String checkpoint = "";
 
+    /** Crashes of servers after starts of this task. */
+    CrashHistory crashes = CrashHistory.NONE;
+
     /** Current run, null if there is none. */
     Run run;
 
@@ -52,6 +56,7 @@
         attempt = stored.attempt();
         done = stored.done();
         checkpoint = stored.checkpoint();
+        crashes = stored.crashes();
         failedAttempts.addAll(stored.failedAttempts());
         failuresWithoutAttempt = Math.max(0, stored.failures() - failedAttempts.size());
     }
@@ -65,6 +70,7 @@
                 run == null ? 0 : run.server.incarnation,
                 run == null ? "" : run.server.host,
                 checkpoint,
-                List.copyOf(failedAttempts));
+                List.copyOf(failedAttempts),
+                crashes);
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -71,6 +71,7 @@
     private final EndedTaskHandler endedTasks;
     private final JobRestoration restoration;
     private final RunSupervision supervision;
+    private final CrashMonitor crashes;
     private final Reconciliation reconciliation;
     private final Pacing pacing;
     private final CheckpointWrites checkpointWrites;
@@ -110,6 +111,7 @@
         this.endedTasks = new EndedTaskHandler(jobs, writes, lifecycle, runTimes);
         this.restoration = new JobRestoration(servers);
         this.supervision = new RunSupervision(servers, lifecycle, timings);
+        this.crashes = new CrashMonitor(servers, writes, lifecycle);
         this.reconciliation = new Reconciliation(jobs, lifecycle);
         this.pacing = new Pacing(lifecycle);
         this.checkpointWrites = new CheckpointWrites(jobs, writes);
@@ -134,6 +136,7 @@
         }
         record.ifPresent(stored -> restoration.restore(job, stored, now));
         configuration.apply(job);
+        lifecycle.updatePhase(job, now);
         lifecycle.markChanged();
     }
 
@@ -189,7 +192,7 @@
             server.draining = report.draining();
         }
         server.ordersMayBeLost |= reconnected;
-        reconciliation.updateAgentIncarnation(server, report);
+        reconciliation.updateAgentIncarnation(server, report, now);
         if (report.term() == term) {
             report.ended().stream()
                     .filter(ended -> ended.number() > server.lastProcessedEnd)
@@ -221,10 +224,8 @@
         switch (run.startsSent > 1 ? uncertainIfRefused(result.outcome()) : result.outcome()) {
             case STARTED, SUPERSEDED -> {
                 if (run.state == RunState.ORDERED) {
-                    run.state = RunState.RUNNING;
                     run.startedAt = now;
-                    run.progressAt = now;
-                    run.confirmedOperation = result.operation();
+                    run.confirm(now, result.operation());
                 }
             }
             case STOPPED -> run.confirmedOperation = result.operation();
@@ -238,7 +239,7 @@
                 if (run.state == RunState.ORDERED) {
                     server.countFailure(now);
                     run.task.notBefore = now + REFUSAL_RETRY_DELAY_MILLISECONDS;
-                    lifecycle.remove(run, now);
+                    lifecycle.removeHarmless(run, now);
                 }
             }
             case NO_TICKET -> {
@@ -249,7 +250,7 @@
                         server.id);
                 run.step.advice.refused(server);
                 if (run.state == RunState.ORDERED) {
-                    lifecycle.remove(run, now);
+                    lifecycle.removeHarmless(run, now);
                 }
             }
             default -> lifecycle.stop(run, now); // UNCERTAIN
@@ -367,6 +368,7 @@
                 .toList()
                 .forEach(server -> loseServer(server, "no contact with its agent", now));
         supervision.check(now);
+        crashes.check(now);
         checkpointWrites.check(now);
         retention.check(now);
     }
@@ -442,9 +444,10 @@
         if (incarnations.stream().anyMatch(server -> server.incarnation > incarnation)) {
             return Optional.empty();
         }
-        incarnations.stream()
-                .filter(server -> server.incarnation < incarnation)
-                .forEach(server -> loseServer(server, "replaced by a newer incarnation on its VM", now));
+        incarnations.stream().filter(server -> server.incarnation < incarnation).forEach(server -> {
+            crashes.serverReplaced(server, report, now);
+            loseServer(server, "replaced by a newer incarnation on its VM", now);
+        });
         ServerState current = servers.computeIfAbsent(id, key -> {
             LOGGER.info(
                     "backend server {} joined on {}, service {}",
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/TaskRecord.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/TaskRecord.java
@@ -14,6 +14,7 @@
  * @param checkpoint newest checkpoint, empty for none
  * @param failedAttempts numbers of the failed attempts, in ascending order; fewer than the failed runs if a build that
  *     did not store them has counted some
+ * @param crashes crashes of backend servers shortly after starts of the task
  */
 public record TaskRecord(
         int attempt,
@@ -23,9 +24,10 @@
         long serverIncarnation,
         String host,
         String checkpoint,
-        List<Integer> failedAttempts) {
+        List<Integer> failedAttempts,
+        CrashHistory crashes) {
     /** Record of a task that has never been started. */
-    public static final TaskRecord NEW = new TaskRecord(0, 0, false, "", 0, "", "", List.of());
+    public static final TaskRecord NEW = new TaskRecord(0, 0, false, "", 0, "", "", List.of(), CrashHistory.NONE);
 
     /** Creates a record with a copy of the list. */
     public TaskRecord {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.workload.model.AdviceSettings;
@@ -28,6 +29,9 @@
     /** Position of the failed attempts of a task; earlier builds neither write nor read this element. */
     private static final int FAILED_ATTEMPTS = 7;
 
+    /** Position of the crashes after starts of a task, likewise. */
+    private static final int CRASHES = 8;
+
     private WorkloadJson() {}
 
     /** Encodes an accepted job. */
@@ -78,7 +82,8 @@
                             .add(task.serverIncarnation())
                             .add(task.host())
                             .add(task.checkpoint())
-                            .add(new JsonArray(task.failedAttempts()))));
+                            .add(new JsonArray(task.failedAttempts()))
+                            .add(crashesJson(task.crashes()))));
             steps.add(new JsonObject()
                     .put("occurrence", step.occurrence())
                     .put("step", step.step())
@@ -206,11 +211,38 @@
                         task.size() > FAILED_ATTEMPTS
                                 ? JsonArrays.integers(task.getJsonArray(FAILED_ATTEMPTS))
                                         .toList()
-                                : List.of()))
+                                : List.of(),
+                        task.size() > CRASHES ? crashes(task.getJsonArray(CRASHES)) : CrashHistory.NONE))
                 .toList();
         return new StepRecord(json.getInteger("occurrence"), json.getInteger("step"), records);
     }
 
+    /** Encodes the number of further starts and the crashes; an empty array if there are none. */
+    private static JsonArray crashesJson(CrashHistory history) {
+        JsonArray json = new JsonArray();
+        if (history.isSuspected()) {
+            json.add(history.furtherStarts());
+            history.crashes()
+                    .forEach(crash -> json.add(new JsonArray()
+                            .add(crash.host())
+                            .add(crash.incarnation())
+                            .add(crash.evidence().name())));
+        }
+        return json;
+    }
+
+    private static CrashHistory crashes(JsonArray json) {
+        if (json.isEmpty()) {
+            return CrashHistory.NONE;
+        }
+        List<CrashHistory.Crash> crashes = IntStream.range(1, json.size())
+                .mapToObj(json::getJsonArray)
+                .map(crash -> new CrashHistory.Crash(
+                        crash.getString(0), crash.getLong(1), CrashHistory.Evidence.valueOf(crash.getString(2))))
+                .toList();
+        return new CrashHistory(crashes, json.getInteger(0));
+    }
+
     private static <T> T decode(byte[] value, Function<JsonObject, T> reader) {
         try {
             return reader.apply(new JsonObject(Buffer.buffer(value)));
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -24,6 +24,12 @@
     private static final int REPORT_MILLISECONDS = 500;
     private static final int SLOW_READ_MILLISECONDS = 150;
 
+    /** Time after which the agent reports a crashed server as unresponsive. */
+    private static final long UNRESPONSIVE_MILLISECONDS = 2_000;
+
+    /** Time after which the agent gives up a start that the server does not confirm. */
+    private static final long START_RETRY_MILLISECONDS = 1_500;
+
     ServerDescription description;
     final Map<String, Long> running = new LinkedHashMap<>();
     final List<EndedTask> ended = new ArrayList<>();
@@ -93,6 +99,17 @@
     boolean holdsFinishedRuns;
 
     long term;
+    /** Tasks that crash the server shortly after their start. */
+    Set<String> deadlyTasks = Set.of();
+
+    /** Time between the start of such a task and the crash. */
+    long crashDelayMilliseconds = 100;
+
+    /** Time of the crash; the agent stays up. */
+    long crashedAt = Long.MAX_VALUE;
+
+    private final Map<WorkMessage.StartTask, Long> unansweredStarts = new LinkedHashMap<>();
+    private long listsTerm;
     private final ToLongFunction<String> workMilliseconds;
     private final Map<String, Integer> highestStopped = new HashMap<>();
     private final Map<String, Long> stopping = new LinkedHashMap<>();
@@ -188,6 +205,17 @@
     /** Advances to a time and delivers the agent's messages to the placer. */
     void advance(long newNow, WorkPlacer placer) {
         now = newNow;
+        if (isCrashed()) {
+            running.clear();
+            ended.clear();
+        }
+        unansweredStarts.entrySet().removeIf(start -> {
+            boolean expired = start.getValue() + START_RETRY_MILLISECONDS <= now;
+            if (expired) {
+                answer(start.getKey().task(), start.getKey().attempt(), OrderOutcome.UNCERTAIN);
+            }
+            return expired;
+        });
         stopping.entrySet().stream()
                 .filter(run -> run.getValue() <= now)
                 .map(Map.Entry::getKey)
@@ -240,6 +268,15 @@
         startingReports = 2;
     }
 
+    /** Crashes the server, but not its agent. */
+    void crash(long at) {
+        crashedAt = Math.min(crashedAt, at);
+    }
+
+    boolean isCrashed() {
+        return now >= crashedAt;
+    }
+
     /** Ends all runs as on expiry of the lease. */
     void expireLease() {
         List.copyOf(running.keySet()).forEach(key -> end(key, expiryKind));
@@ -271,6 +308,11 @@
             return;
         }
         nextReport = now + REPORT_MILLISECONDS;
+        if (isCrashed()) {
+            reportCrashed();
+            return;
+        }
+        listsTerm = term;
         lastReport = new WorkMessage.ServerReport(
                 description,
                 agentIncarnation,
@@ -284,6 +326,21 @@
         outbox.add(lastReport);
     }
 
+    /** Reports the lists that were read last, as the agent of a server that does not answer does. */
+    private void reportCrashed() {
+        lastReport = new WorkMessage.ServerReport(
+                description,
+                agentIncarnation,
+                listsTerm,
+                draining,
+                now - crashedAt <= UNRESPONSIVE_MILLISECONDS,
+                now,
+                operation,
+                lastReport == null ? List.of() : lastReport.running(),
+                lastReport == null ? List.of() : lastReport.ended());
+        outbox.add(lastReport);
+    }
+
     /** Reports like a restarted agent: at once without lists, and then with lists that were read some time before. */
     private void reportWhileStarting() {
         if (startingReports == 2) {
@@ -337,7 +394,14 @@
     }
 
     private void start(WorkMessage.StartTask order) {
+        if (isCrashed()) {
+            unansweredStarts.put(order, now);
+            return;
+        }
         starts.add(order);
+        if (deadlyTasks.contains(order.task())) {
+            crash(now + crashDelayMilliseconds);
+        }
         String key = order.task() + "#" + order.attempt();
         if (highestStopped.getOrDefault(order.task(), 0) >= order.attempt()) {
             answer(order.task(), order.attempt(), OrderOutcome.SUPERSEDED);
@@ -364,6 +428,9 @@
     }
 
     private void stop(WorkMessage.StopTask order) {
+        if (isCrashed()) {
+            return;
+        }
         highestStopped.merge(order.task(), order.attempt(), Math::max);
         String key = order.task() + "#" + order.attempt();
         if (running.containsKey(key)) {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.teaselwood.workload.model.JobSpecification;
 import org.teaselwood.workload.model.QueueSettings;
 import org.teaselwood.workload.model.Resources;
@@ -26,6 +28,9 @@
     static final WorkloadTimings TIMINGS = new WorkloadTimings(6_000, 3_000, 200, 20_000);
     private static final long STEP_MILLISECONDS = 10;
 
+    /** Time between the crash of a server and its next incarnation. */
+    static final long RESTART_MILLISECONDS = 3_000;
+
     final Map<String, FakeServer> servers = new TreeMap<>();
     final Map<String, StoredValue> store = new HashMap<>();
     final Map<String, JobSpecification> accepted = new TreeMap<>();
@@ -42,6 +47,15 @@
     /** Whether the advice service answers. */
     boolean adviceAvailable = true;
 
+    /** Tasks that crash every backend server that starts them. */
+    final Set<String> deadlyTasks = new HashSet<>();
+
+    /** All incarnations so far. */
+    final List<FakeServer> allServers = new ArrayList<>();
+
+    /** Crashed incarnations that were replaced, in order. */
+    final List<FakeServer> crashed = new ArrayList<>();
+
     /** Latency of a write of records. */
     long writeLatencyMilliseconds;
 
@@ -83,6 +97,8 @@
     FakeServer server(String id, String host, String rack) {
         FakeServer server =
                 new FakeServer(id, now, host, rack, SERVER, task -> workMilliseconds.getOrDefault(task, 1_000L));
+        allServers.add(server);
+        server.deadlyTasks = deadlyTasks;
         servers.put(id, server);
         server.connect(term);
         return server;
@@ -134,10 +150,24 @@
             scheduledActions.removeAll(actions);
             actions.forEach(action -> action.action().run());
             servers.values().forEach(server -> server.advance(now, placer));
+            restartCrashedServers();
             placer.advance(now);
         }
     }
 
+    /** Replaces crashed servers, by turns under the same identifier and under a new one. */
+    private void restartCrashedServers() {
+        List<FakeServer> restarting = servers.values().stream()
+                .filter(server -> now - server.crashedAt >= RESTART_MILLISECONDS)
+                .toList();
+        for (FakeServer old : restarting) {
+            crashed.add(old);
+            servers.remove(old.description.server());
+            String id = old.description.server() + (crashed.size() % 2 == 0 ? "" : "+");
+            server(id, old.description.host(), old.description.rack()).agentIncarnation = old.agentIncarnation;
+        }
+    }
+
     JobPhase phase(String job) {
         return stored(job).map(record -> record.record().phase()).orElse(JobPhase.QUEUED);
     }
@@ -149,7 +179,7 @@
     }
 
     long starts(String task) {
-        return servers.values().stream()
+        return Stream.concat(crashed.stream(), servers.values().stream())
                 .flatMap(server -> server.starts.stream())
                 .filter(start -> start.task().equals(task))
                 .count();
