Compute the numbers of a waiting step only for a line that is due

The reserve that a waiting step must leave free, and the free share of its service, were computed in every pass for every waiting step and gang. The first is now evaluated only for a log line that is due and the second only for gangs that should run in one rack.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -136,7 +136,7 @@
                     step,
                     candidate.queue().service(),
                     freeCapacity,
-                    isExcludedFromReserve(candidate, step) ? reserve.accelerators() : 0,
+                    () -> isExcludedFromReserve(candidate, step) ? reserve.accelerators() : 0,
                     now);
             candidate.queue().advice().ifPresent(settings -> requestAdvice(candidate, step, settings));
             if (mayPreempt && candidate.queue().priority() == 0) {
@@ -185,11 +185,12 @@
     }
 
     private boolean maySpread(Candidate candidate, StepState step) {
-        return RackWait.isOver(
-                now - step.readySince,
-                preemptionLimits.expectedMilliseconds(step, candidate.queue()),
-                candidate.entitled()
-                        || freeCapacity.isMostlyFree(candidate.queue().service()));
+        return step.specification.sameRack()
+                && RackWait.isOver(
+                        now - step.readySince,
+                        preemptionLimits.expectedMilliseconds(step, candidate.queue()),
+                        candidate.entitled()
+                                || freeCapacity.isMostlyFree(candidate.queue().service()));
     }
 
     private boolean placeTasks(Candidate candidate, StepState step) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WaitingStepLog.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WaitingStepLog.java
@@ -1,6 +1,7 @@
 package org.teaselwood.workload.placer;
 
 import java.util.List;
+import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,9 +28,10 @@
     /**
      * Logs the numbers that keep a step waiting, if a line is due.
      *
-     * @param reserve number of accelerators that the step must leave free, 0 if it need not leave any
+     * @param reserve number of accelerators that the step must leave free, 0 if it need not leave any; evaluated only
+     *     for a line that is due
      */
-    void stepWaits(StepState step, String service, FreeCapacity freeCapacity, int reserve, long now) {
+    void stepWaits(StepState step, String service, FreeCapacity freeCapacity, IntSupplier reserve, long now) {
         if (!isDue(step, now)) {
             return;
         }
@@ -63,7 +65,7 @@
                         .count(),
                 step.advice.required ? freeCapacity.unadvised(service, step).count() : 0,
                 freeCapacity.freeAccelerators(),
-                reserve);
+                reserve.getAsInt());
     }
 
     /** Logs that a job cannot be placed because no configuration has its queue, if a line is due. */
