Let long-running steps wait only shortly on a busy service too

The users' rule on lost jobs holds for each long-running task at any time and however full the service is: three seconds without a run while there is capacity for it twice over. On a service that was more than half in use, the reserve for urgent jobs still kept such a task out for five seconds, and a long-running gang waited for one rack for twice its estimate.

Both waits are now 1.5 seconds at most for long-running steps, as they are while most of the service is free. One new test each in UrgentReserveTest and GangInOneRackTest fails without the change ("expected: 1 but was: 0" starts) and passes with it; all 186 tests of the module pass.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -24,8 +24,11 @@
      */
     private static final long MAXIMUM_RESERVE_EXCLUSION_MILLISECONDS = 5_000;
 
-    /** Longest time for which a step is kept out of the urgent reserve while most of its service is free. */
-    private static final long MAXIMUM_EXCLUSION_WHILE_MOSTLY_FREE_MILLISECONDS = 1_500;
+    /**
+     * Longest time for which a step is kept out of the urgent reserve while most of its service is free, and for which
+     * a long-running step is kept out at any time.
+     */
+    private static final long SHORT_RESERVE_EXCLUSION_MILLISECONDS = 1_500;
 
     /** Weight of work lost by urgent runs: a preempted urgent job is late and preempts others in turn. */
     private static final double URGENT_LOSS_WEIGHT = 4.0;
@@ -166,8 +169,7 @@
         }
         long waiting = step.gang() ? step.tasks.size() : 1;
         return freeCapacity.freeAccelerators() - waiting * perTask < reserve.accelerators()
-                && (waited <= MAXIMUM_EXCLUSION_WHILE_MOSTLY_FREE_MILLISECONDS
-                        || !freeCapacity.isMostlyFree(candidate.queue().service()));
+                && (waited <= SHORT_RESERVE_EXCLUSION_MILLISECONDS || !startsSoon(candidate, step));
     }
 
     private boolean placeGang(Candidate candidate, StepState step) {
@@ -189,8 +191,13 @@
                 && RackWait.isOver(
                         now - step.readySince,
                         preemptionLimits.expectedMilliseconds(step, candidate.queue()),
-                        candidate.entitled()
-                                || freeCapacity.isMostlyFree(candidate.queue().service()));
+                        candidate.entitled() || startsSoon(candidate, step));
+    }
+
+    /** Returns whether the step must not wait long for a better placement if it could start. */
+    private boolean startsSoon(Candidate candidate, StepState step) {
+        return step.specification.longRunning()
+                || freeCapacity.isMostlyFree(candidate.queue().service());
     }
 
     private boolean placeTasks(Candidate candidate, StepState step) {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/GangInOneRackTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/GangInOneRackTest.java
@@ -26,6 +26,17 @@
         return wholeServers(count, estimateMilliseconds, true);
     }
 
+    private static StepSpecification longRunningGang(int count) {
+        return PlacerScenario.step(
+                count,
+                new Resources(30_000, 1_000, 8),
+                LONG_MILLISECONDS,
+                List.of(),
+                true,
+                true,
+                new PlacerScenario.Sharing(true, false, 0, 0));
+    }
+
     private static StepSpecification filling(int count) {
         return wholeServers(count, LONG_MILLISECONDS, false);
     }
@@ -97,6 +108,16 @@
                 .isEqualTo(1);
     }
 
+    @Test
+    void a_long_running_gang_spreads_over_racks_of_a_busy_service_after_a_short_wait() {
+        occupyOneServerOfEachRack(2);
+        submit("filling", "batch", filling(6));
+        scenario.run(300);
+        submit("serving", "normal", longRunningGang(2));
+        scenario.run(2_000);
+        assertThat(scenario.starts("serving.0.0.0")).isEqualTo(1);
+    }
+
     @Test
     void a_short_gang_spreads_over_racks_of_a_busy_service_once_it_has_waited_as_long_as_that_costs() {
         occupyOneServerOfEachRack(2);
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/UrgentReserveTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/UrgentReserveTest.java
@@ -79,6 +79,29 @@
         assertThat(scenario.starts("processors.0.0.0")).isEqualTo(1);
     }
 
+    @Test
+    void a_long_running_task_waits_only_shortly_for_the_reserve_of_a_busy_deployment() {
+        submit("filling", "batch", 24, 1);
+        submit("urgent", "urgent", 1, 8);
+        scenario.run(1_000);
+        assertThat(scenario.runningTasks()).isEqualTo(25);
+        scenario.placer.jobCancelled("urgent", scenario.now);
+        scenario.run(500);
+        scenario.submit(
+                "serving",
+                "normal",
+                PlacerScenario.step(
+                        1,
+                        new Resources(1_000, 1_000, 1),
+                        1_000,
+                        List.of(),
+                        false,
+                        false,
+                        new PlacerScenario.Sharing(true, false, 100, 0)));
+        scenario.run(LONGEST_WAIT_MILLISECONDS);
+        assertThat(scenario.starts("serving.0.0.0")).isEqualTo(1);
+    }
+
     @Test
     void work_stays_out_of_the_reserve_of_a_busy_deployment() {
         submit("filling", "batch", 24, 1);
