Count the crash of a server that its agent reports as gone

A task that crashes servers was attributed a crash only when a newer incarnation replaced the server. If the server came back later than its leases, its agent had reported it as gone before, the run was removed without a crash on record, and the task would have been started on server after server.

A server that is reported as gone without having been draining now counts like a replaced one. The new case of CrashingTaskTest, in which servers come back after 15 s, failed before (expected FAILED, the job had not ended) and passes; the other cases, PlacerFaultsTest and ServerTroubleTest pass.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
@@ -18,8 +18,9 @@
  * Attributes crashes of backend servers to the runs that they had started shortly before. Mutable; confined to the
  * placer's duty thread.
  *
- * <p>A crash is the replacement of a server by a newer incarnation on its VM without an announced departure. If the
- * agent process was replaced too, the whole VM was restarted, which a task cannot cause. Invariant: a crash is stored
+ * <p>A crash is the end of a server without an announced departure: a newer incarnation replaces it on its VM, or its
+ * agent reports it as gone because it comes back late or not at all. If the agent process was replaced too, the whole VM
+ * was restarted, which a task cannot cause. Invariant: a crash is stored
  * in the same write as the removal of the run, so that a new placer neither misses it nor counts it twice.
  */
 final class CrashMonitor {
@@ -52,10 +53,19 @@
 
     /** Attributes the crash of a server that is replaced by a newer incarnation; its runs are still on record. */
     void serverReplaced(ServerState server, ServerReport successor, long now) {
+        boolean vmRestarted = server.hasReported() && server.agentIncarnation != successor.agentIncarnation();
+        attribute(server, vmRestarted, now);
+    }
+
+    /** Attributes the loss of a server that its agent reports as gone; its runs are still on record. */
+    void serverGone(ServerState server, long now) {
+        attribute(server, false, now);
+    }
+
+    private void attribute(ServerState server, boolean vmRestarted, long now) {
         if (server.draining) {
             return;
         }
-        boolean vmRestarted = server.hasReported() && server.agentIncarnation != successor.agentIncarnation();
         while (!recentCrashes.isEmpty() && now - recentCrashes.peekFirst().at() > MEMORY_MILLISECONDS) {
             recentCrashes.pollFirst();
         }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -274,6 +274,7 @@
         if (server != null
                 && server.incarnation == incarnation
                 && connection.sequenceNumber() >= server.connectionNumber) {
+            crashes.serverGone(server, now);
             loseServer(server, "its agent reports it as gone", now);
         }
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/CrashingTaskTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/CrashingTaskTest.java
@@ -121,6 +121,16 @@
         assertSoundJobsComplete();
     }
 
+    @Test
+    void a_task_whose_servers_come_back_only_after_they_were_reported_as_gone_is_given_up() {
+        addServers(6);
+        scenario.restartMilliseconds = 15_000;
+        submitDeadly("deadly", PlacerScenario.step(1, 1), 1);
+        run(90_000);
+        assertGivenUp("deadly");
+        assertThat(scenario.crashed.size()).isAtMost(3);
+    }
+
     @Test
     void a_task_whose_start_is_never_confirmed_before_the_crash_is_given_up() {
         addServers(6);
@@ -245,7 +255,7 @@
         scenario.servers.values().forEach(server -> server.crash(scenario.now));
         run(1_000);
         scenario.elect();
-        run(PlacerScenario.RESTART_MILLISECONDS - 1_000);
+        run(scenario.restartMilliseconds - 1_000);
         run(4_000);
         assertThat(scenario.runningTasks()).isEqualTo(12);
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -27,6 +27,9 @@
     /** Time after which the agent reports a crashed server as unresponsive. */
     private static final long UNRESPONSIVE_MILLISECONDS = 2_000;
 
+    /** Time after which the agent reports a crashed server as gone, because all its leases have expired. */
+    private static final long GONE_MILLISECONDS = 9_500;
+
     /** Time after which the agent gives up a start that the server does not confirm. */
     private static final long START_RETRY_MILLISECONDS = 1_500;
 
@@ -108,6 +111,8 @@
     /** Time of the crash; the agent stays up. */
     long crashedAt = Long.MAX_VALUE;
 
+    private boolean reportedAsGone;
+
     private final Map<WorkMessage.StartTask, Long> unansweredStarts = new LinkedHashMap<>();
     private long listsTerm;
     private final ToLongFunction<String> workMilliseconds;
@@ -208,6 +213,10 @@
         if (isCrashed()) {
             running.clear();
             ended.clear();
+            if (connected && !reportedAsGone && now - crashedAt >= GONE_MILLISECONDS) {
+                reportedAsGone = true;
+                placer.serverLeft(connection, description.server(), description.incarnation(), now);
+            }
         }
         unansweredStarts.entrySet().removeIf(start -> {
             boolean expired = start.getValue() + START_RETRY_MILLISECONDS <= now;
@@ -309,7 +318,9 @@
         }
         nextReport = now + REPORT_MILLISECONDS;
         if (isCrashed()) {
-            reportCrashed();
+            if (!reportedAsGone) {
+                reportCrashed();
+            }
             return;
         }
         listsTerm = term;
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -29,7 +29,7 @@
     private static final long STEP_MILLISECONDS = 10;
 
     /** Time between the crash of a server and its next incarnation. */
-    static final long RESTART_MILLISECONDS = 3_000;
+    long restartMilliseconds = 3_000;
 
     final Map<String, FakeServer> servers = new TreeMap<>();
     final Map<String, StoredValue> store = new HashMap<>();
@@ -158,7 +158,7 @@
     /** Replaces crashed servers, by turns under the same identifier and under a new one. */
     private void restartCrashedServers() {
         List<FakeServer> restarting = servers.values().stream()
-                .filter(server -> now - server.crashedAt >= RESTART_MILLISECONDS)
+                .filter(server -> now - server.crashedAt >= restartMilliseconds)
                 .toList();
         for (FakeServer old : restarting) {
             crashed.add(old);
