Accept an incarnation with an earlier start time if it answers

The agent and the placer order the incarnations of a server by start time. After a step of the time of day a new incarnation may have an earlier start time than its predecessor.

When a heartbeat names another incarnation with an earlier start time, the agent reads the lists of its sender, without a renewal. If that incarnation answers with this start time, it is the one that runs on the VM: the agent reports the former one as gone and uses the new one. A heartbeat of a dead incarnation that was delayed has no effect, because a dead incarnation does not answer. The placer needs no change: it accepts the new incarnation after the notice, or, if the notice was lost, once the former one counts as lost.

The two tests of the placer in ServerTroubleTest guard code that this change does not touch.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -91,14 +91,41 @@
         this.orders = new ServerOrders(vertx, clock, client, leases, new OrderListener());
     }
 
-    /** Processes a heartbeat of the server; one that is older than the last is ignored. */
+    /** Processes a heartbeat of the server; one that is older than the last is ignored unless its sender answers. */
     public void heartbeatReceived(ServerHeartbeat newHeartbeat) {
         if (heartbeat != null && isOlder(newHeartbeat)) {
             LOGGER.info(
                     "ignored an outdated heartbeat of {}",
                     newHeartbeat.description().server());
+            if (!isSameIncarnation(newHeartbeat)) {
+                verifyIncarnation(newHeartbeat);
+            }
             return;
         }
+        acceptHeartbeat(newHeartbeat);
+    }
+
+    /**
+     * Replaces the incarnation by one with an earlier start time if that one answers. A step of the time of day may
+     * give a new incarnation an earlier start time than its predecessor; a dead one does not answer.
+     */
+    private void verifyIncarnation(ServerHeartbeat candidate) {
+        long verifiedIncarnation = incarnation;
+        client.renewLeases(new BackendServerClient.LeaseRenewalRequest(
+                        candidate.description().server(), highestTerm, 0, OptionalLong.empty(), 0))
+                .onFailure(failure -> LOGGER.debug("the sender of the heartbeat does not answer", failure))
+                .onSuccess(reply -> {
+                    if (verifiedIncarnation == incarnation
+                            && reply.startMilliseconds()
+                                    == candidate.description().incarnation()) {
+                        LOGGER.info("the sender of the outdated heartbeat answers; the former incarnation is gone");
+                        sendServerLeft();
+                        acceptHeartbeat(candidate);
+                    }
+                });
+    }
+
+    private void acceptHeartbeat(ServerHeartbeat newHeartbeat) {
         boolean newIncarnation = heartbeat == null || !isSameIncarnation(newHeartbeat);
         boolean drainingChanged = heartbeat == null || heartbeat.draining() != newHeartbeat.draining();
         if (!newIncarnation && newHeartbeat.sequence() > heartbeat.sequence()) {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -95,8 +95,17 @@
 
     /** Adds a backend server on a VM. */
     FakeServer server(String id, String host, String rack) {
-        FakeServer server =
-                new FakeServer(id, now, host, rack, SERVER, task -> workMilliseconds.getOrDefault(task, 1_000L));
+        return addServer(id, now, host, rack);
+    }
+
+    /** Adds a backend server on a VM whose time of day differs. */
+    FakeServer serverWithStartTime(String id, long startMilliseconds, String host) {
+        return addServer(id, startMilliseconds, host, "r1");
+    }
+
+    private FakeServer addServer(String id, long startMilliseconds, String host, String rack) {
+        FakeServer server = new FakeServer(
+                id, startMilliseconds, host, rack, SERVER, task -> workMilliseconds.getOrDefault(task, 1_000L));
         allServers.add(server);
         server.deadlyTasks = deadlyTasks;
         servers.put(id, server);
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/ServerTroubleTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/ServerTroubleTest.java
@@ -130,6 +130,29 @@
         assertThat(server.starts).hasSize(1);
     }
 
+    @Test
+    void an_incarnation_with_an_earlier_start_time_is_used_at_once_after_the_former_one_is_reported_as_gone() {
+        FakeServer former = scenario.server("s1", "vm", "r1");
+        submit("job", 1);
+        scenario.run(300);
+        scenario.placer.serverLeft(former.connection, "s1", former.description.incarnation(), scenario.now);
+        scenario.servers.remove("s1");
+        scenario.serverWithStartTime("s2", 1, "vm");
+        scenario.run(4_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void an_incarnation_with_an_earlier_start_time_is_used_when_the_notice_of_the_former_one_was_lost() {
+        scenario.server("s1", "vm", "r1");
+        submit("job", 1);
+        scenario.run(300);
+        scenario.servers.remove("s1");
+        scenario.serverWithStartTime("s2", 1, "vm");
+        scenario.run(PlacerScenario.TIMINGS.lostAfterMilliseconds() + 4_000);
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+    }
+
     @Test
     void a_job_that_can_never_be_done_fails_after_its_attempts_and_does_not_keep_others_from_running() {
         FakeServer failing = scenario.server("s1", "r1");
