Answer 504 for a cancellation that an earlier attempt may have stored

A client whose cancellation may be in effect could get 503, which says that it is not: when the first write to the store got no answer and its repetitions were refused, the last failure decided the answer.

Submissions kept it before. Answers to reads do not change; they are 503 in both cases.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobService.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/JobService.java
@@ -213,15 +213,18 @@
             return Uni.createFrom()
                     .failure(TeaselwoodException.of(ErrorKind.STORE_REFUSED, "no response for " + outage + " ms"));
         }
-        return withRetriesUntil(attempt, clock.nowMilliseconds() + limitMilliseconds);
+        return withRetriesUntil(attempt, clock.nowMilliseconds() + limitMilliseconds, Optional.empty());
     }
 
-    private <T> Uni<T> withRetriesUntil(Attempt<T> attempt, long deadline) {
+    /** Fails with the first failure whose outcome is unknown, even if a later attempt was refused. */
+    private <T> Uni<T> withRetriesUntil(Attempt<T> attempt, long deadline, Optional<Throwable> unknownOutcome) {
         return attempt.get().onFailure().recoverWithUni(failure -> {
+            Optional<Throwable> nowUnknownOutcome =
+                    unknownOutcome.or(() -> isRefusal(failure) ? Optional.empty() : Optional.of(failure));
             if (clock.nowMilliseconds() + RETRY_DELAY.toMillis() >= deadline || store.outageMilliseconds() > 0) {
-                return Uni.createFrom().failure(failure);
+                return Uni.createFrom().failure(nowUnknownOutcome.orElse(failure));
             }
-            return awaitRetryDelay().chain(() -> withRetriesUntil(attempt, deadline));
+            return awaitRetryDelay().chain(() -> withRetriesUntil(attempt, deadline, nowUnknownOutcome));
         });
     }
 
