Stop a start that reaches the next incarnation of a server under the same identifier

Callers would see a task that is not idempotent run twice at once. An agent repeats an unanswered start and addresses the server by its identifier. If the server crashes and starts again under the same identifier, the repetition reaches the new incarnation before its first heartbeat. The placer counted all runs of the former incarnation as ended and placed the task elsewhere, while it ran on the new one.

The new test of ServerTroubleTest failed before (2 runs at once) and passes.

The placer now keeps such a run on record on the new incarnation, as one that is being stopped. The stop makes the server reject the attempt or ends it, and only then is the task placed again. Starts that the agent has answered are not repeated by it and are removed as before.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -23,6 +23,9 @@
     /** Number of start orders sent; a refusal is unambiguous only if there was a single order. */
     int startsSent;
 
+    /** Whether the agent has answered the start order, so that it does not repeat it any more. */
+    boolean startAnswered;
+
     /**
      * Number of the agent's call that confirmed the last order, negative while it is unconfirmed; a run that is missing
      * in a list of a later call has ended.
@@ -115,6 +118,11 @@
         return startsSent > 0 || isTakenOver();
     }
 
+    /** Returns whether a start order may reach the server after this time because its agent may still repeat it. */
+    boolean mayStartLate() {
+        return mayHaveStarted() && !startAnswered;
+    }
+
     /** Returns whether other tasks should stay off the server because this run may crash it. */
     boolean needsIsolation() {
         return isolated && !survivedStart;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
@@ -122,6 +122,24 @@
         changed = true;
     }
 
+    /**
+     * Stops a run of a former incarnation on its successor. An agent addresses a server by its identifier, so that a
+     * start which it repeats may reach the successor; the stop makes the successor reject it.
+     */
+    void stopLateStart(Run former, ServerState successor, long now) {
+        if (former.task.run != null || former.task.done) {
+            return;
+        }
+        Run late = new Run(former.job, former.step, former.task, former.attempt, successor, RunState.STOPPING, now);
+        late.startsSent = former.startsSent;
+        former.task.run = late;
+        // The start has been counted; the removal of the run on the successor must not undo that.
+        former.task.crashes = former.task.crashes.withStart();
+        successor.runs.put(late.key(), late);
+        writes.markChanged(former.job);
+        sendStop(successor, former.task.name.toString(), former.attempt);
+    }
+
     void stopGang(StepState step, long now) {
         if (step.gang()) {
             step.runs().toList().forEach(run -> stop(run, now));
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -223,6 +223,7 @@
         }
         switch (run.startsSent > 1 ? uncertainIfRefused(result.outcome()) : result.outcome()) {
             case STARTED, SUPERSEDED -> {
+                run.startAnswered = true;
                 if (run.state == RunState.ORDERED) {
                     run.startedAt = now;
                     run.confirm(now, result.operation());
@@ -445,6 +446,11 @@
         if (incarnations.stream().anyMatch(server -> server.incarnation > incarnation)) {
             return Optional.empty();
         }
+        List<Run> unanswered = incarnations.stream()
+                .filter(server -> server.id.equals(id) && server.incarnation < incarnation)
+                .flatMap(server -> server.runs.values().stream())
+                .filter(Run::mayStartLate)
+                .toList();
         incarnations.stream().filter(server -> server.incarnation < incarnation).forEach(server -> {
             crashes.serverReplaced(server, report, now);
             loseServer(server, "replaced by a newer incarnation on its VM", now);
@@ -457,6 +463,7 @@
                     report.description().service());
             return new ServerState(id, incarnation, host, now);
         });
+        unanswered.forEach(run -> lifecycle.stopLateStart(run, current, now));
         newestIncarnations.put(host, current);
         return Optional.of(current);
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/ServerTroubleTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/ServerTroubleTest.java
@@ -166,4 +166,24 @@
         assertThat(scenario.starts("hopeless.0.0.0")).isEqualTo(3);
         assertThat(scenario.phase("sound")).isEqualTo(JobPhase.COMPLETED);
     }
+
+    @Test
+    void a_start_that_reaches_the_next_incarnation_under_the_same_identifier_does_not_run_beside_its_replacement() {
+        FakeServer first = scenario.server("s1", "vm", "r1");
+        scenario.run(600);
+        first.crash(scenario.now);
+        scenario.run(20);
+        submit("job", 1);
+        scenario.run(100);
+        scenario.servers.remove("s1");
+        FakeServer next = scenario.server("s1", "vm", "r1");
+        next.agentIncarnation = first.agentIncarnation;
+        next.running.put("job.0.0.0#1", scenario.now);
+        scenario.server("s2", "vm2", "r1");
+        for (int slice = 0; slice < 400; slice++) {
+            scenario.run(10);
+            assertThat(scenario.runningTasks()).isAtMost(1);
+        }
+        assertThat(scenario.phase("job")).isEqualTo(JobPhase.COMPLETED);
+    }
 }
