Treat the loss of a server that is reported as gone as weak evidence

A server that its agent reports as gone may have crashed, but also have been taken away or cut off, and one that answered until the end has departed. Such a loss now counts only towards the limit on further starts, and not at all for a server that was responsive. The bound of the case in CrashingTaskTest becomes the limit of the users' rule, five starts, which also the other cases with weak evidence have. All tests of the module pass.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
@@ -18,8 +18,8 @@
  *
  * <p>A crash is the end of a server without an announced departure: a newer incarnation replaces it on its VM, or its
  * agent reports it as gone because it comes back late or not at all. If the agent process was replaced too, the whole VM
- * was restarted, which a task cannot cause. Invariant: a crash is stored
- * in the same write as the removal of the run, so that a new placer neither misses it nor counts it twice.
+ * was restarted, which a task cannot cause. Invariant: a crash is stored in the same write as the removal of the run, so
+ * that a new placer neither misses it nor counts it twice.
  */
 final class CrashMonitor {
     private static final Logger LOGGER = LoggerFactory.getLogger(CrashMonitor.class);
@@ -63,25 +63,28 @@
 
     /** Attributes the crash of a server that is replaced by a newer incarnation; its runs are still on record. */
     void serverReplaced(ServerState server, ServerReport successor, long now) {
+        if (server.draining) {
+            return;
+        }
         boolean vmRestarted = server.hasReported() && server.agentIncarnation != successor.agentIncarnation();
-        attribute(server, vmRestarted, now);
+        attribute(server, vmRestarted ? List.of() : suspectsOn(server), !isInContact(server, now), now);
     }
 
-    /** Attributes the loss of a server that its agent reports as gone; its runs are still on record. */
+    /**
+     * Attributes the loss of a server that its agent reports as gone; it may have crashed, unless it announced its
+     * departure or answered until the end.
+     */
     void serverGone(ServerState server, long now) {
-        attribute(server, false, now);
+        if (!server.draining && !server.responsive) {
+            attribute(server, suspectsOn(server), true, now);
+        }
     }
 
-    private void attribute(ServerState server, boolean vmRestarted, long now) {
-        if (server.draining) {
-            return;
-        }
+    private void attribute(ServerState server, List<Run> suspects, boolean unclear, long now) {
         while (!recentCrashes.isEmpty() && now - recentCrashes.peekFirst().at() > MEMORY_MILLISECONDS) {
             recentCrashes.pollFirst();
         }
-        List<Run> suspects = vmRestarted ? List.of() : suspectsOn(server);
-        boolean weak =
-                !isInContact(server, now) || simultaneousLosses(server, now).count() > MAXIMUM_SIMULTANEOUS_SERVERS;
+        boolean weak = unclear || simultaneousLosses(server, now).count() > MAXIMUM_SIMULTANEOUS_SERVERS;
         for (Run run : suspects) {
             if (isLossOfMostServers(run, now)) {
                 continue;
