Distrust the answer to a start until its server has listed the run

Callers would see a task run twice at once, as with a start that reaches the next incarnation under the same identifier, in the case that this incarnation answers before its first heartbeat: the agent reports the start as carried out, the placer takes it for a run of the former incarnation, and counts it as ended with that one.

The second new test of ServerTroubleTest failed before (2 runs at once) and passes.

Only lists prove the incarnation, since the agent checks their start time. A run is now counted as ended with its server only if a list of it came after the answer; any other is stopped on the successor first.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
@@ -92,6 +92,7 @@
     private void updateRun(Run run, RunningTask task, long operation, long now) {
         run.step.saveCheckpoint(run.task, task.checkpoint());
         run.load = task.load();
+        run.listedAfterAnswer |= run.startAnswered && operation > run.confirmedOperation;
         if (task.percent() != run.percent) {
             run.percent = task.percent();
             run.progressAt = now;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -26,6 +26,9 @@
     /** Whether the agent has answered the start order, so that it does not repeat it any more. */
     boolean startAnswered;
 
+    /** Whether the server has listed the run after that answer, which may have come from its next incarnation. */
+    boolean listedAfterAnswer;
+
     /**
      * Number of the agent's call that confirmed the last order, negative while it is unconfirmed; a run that is missing
      * in a list of a later call has ended.
@@ -118,9 +121,12 @@
         return startsSent > 0 || isTakenOver();
     }
 
-    /** Returns whether a start order may reach the server after this time because its agent may still repeat it. */
-    boolean mayStartLate() {
-        return mayHaveStarted() && !startAnswered;
+    /**
+     * Returns whether the next incarnation of the server may have the run if it has the same identifier: its agent may
+     * still repeat the start order, or the answer may have come from the next incarnation.
+     */
+    boolean mayRunOnSuccessor() {
+        return mayHaveStarted() && !listedAfterAnswer;
     }
 
     /** Returns whether other tasks should stay off the server because this run may crash it. */
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
@@ -123,8 +123,8 @@
     }
 
     /**
-     * Stops a run of a former incarnation on its successor. An agent addresses a server by its identifier, so that a
-     * start which it repeats may reach the successor; the stop makes the successor reject it.
+     * Stops a run of a former incarnation on its successor with the same identifier. An agent addresses a server by its
+     * identifier, so that a start which it repeats may reach the successor; the stop makes the successor reject it.
      */
     void stopLateStart(Run former, ServerState successor, long now) {
         if (former.task.run != null || former.task.done) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -446,10 +446,10 @@
         if (incarnations.stream().anyMatch(server -> server.incarnation > incarnation)) {
             return Optional.empty();
         }
-        List<Run> unanswered = incarnations.stream()
+        List<Run> uncertain = incarnations.stream()
                 .filter(server -> server.id.equals(id) && server.incarnation < incarnation)
                 .flatMap(server -> server.runs.values().stream())
-                .filter(Run::mayStartLate)
+                .filter(Run::mayRunOnSuccessor)
                 .toList();
         incarnations.stream().filter(server -> server.incarnation < incarnation).forEach(server -> {
             crashes.serverReplaced(server, report, now);
@@ -463,7 +463,7 @@
                     report.description().service());
             return new ServerState(id, incarnation, host, now);
         });
-        unanswered.forEach(run -> lifecycle.stopLateStart(run, current, now));
+        uncertain.forEach(run -> lifecycle.stopLateStart(run, current, now));
         newestIncarnations.put(host, current);
         return Optional.of(current);
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/ServerTroubleTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/ServerTroubleTest.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.teaselwood.protocol.message.WorkMessage;
 import org.teaselwood.protocol.message.WorkMessage.EndKind;
+import org.teaselwood.protocol.message.WorkMessage.OrderOutcome;
 import org.teaselwood.workload.record.JobPhase;
 
 /**
@@ -169,17 +171,43 @@
 
     @Test
     void a_start_that_reaches_the_next_incarnation_under_the_same_identifier_does_not_run_beside_its_replacement() {
+        FakeServer first = startOnCrashedServer();
+        returnUnderSameIdentifier(first);
+        assertRunsOnce();
+    }
+
+    @Test
+    void a_start_that_the_next_incarnation_answers_before_its_first_heartbeat_does_not_run_beside_its_replacement() {
+        FakeServer first = startOnCrashedServer();
+        scenario.placer.orderAnswered(
+                first.connection,
+                new WorkMessage.OrderResult(
+                        "s1", first.description.incarnation(), "job.0.0.0", 1, OrderOutcome.STARTED, 99),
+                scenario.now);
+        returnUnderSameIdentifier(first);
+        assertRunsOnce();
+    }
+
+    private FakeServer startOnCrashedServer() {
         FakeServer first = scenario.server("s1", "vm", "r1");
         scenario.run(600);
         first.crash(scenario.now);
         scenario.run(20);
         submit("job", 1);
         scenario.run(100);
+        return first;
+    }
+
+    /** Starts the next incarnation, which has already carried out the start of the first attempt. */
+    private void returnUnderSameIdentifier(FakeServer first) {
         scenario.servers.remove("s1");
         FakeServer next = scenario.server("s1", "vm", "r1");
         next.agentIncarnation = first.agentIncarnation;
         next.running.put("job.0.0.0#1", scenario.now);
         scenario.server("s2", "vm2", "r1");
+    }
+
+    private void assertRunsOnce() {
         for (int slice = 0; slice < 400; slice++) {
             scenario.run(10);
             assertThat(scenario.runningTasks()).isAtMost(1);
