Do not hold a start that was never confirmed against a task

Callers would see a job shown as failed that no server had started: an unconfirmed start on a server that was replaced counted as a suspicious crash, and three of them ended the job. Such a start may never have reached the server, so it is weak evidence now, which only limits further starts.

The first test of CrashAttributionTest, written by the reviewer, failed before (FAILED instead of COMPLETED, no start) and passes. The bound of a_task_whose_start_is_never_confirmed_before_the_crash_is_given_up, three crashes, came from the former weighing; it is now the limit on starts of the users' rule.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
@@ -17,9 +17,9 @@
  * placer's duty thread.
  *
  * <p>A crash is the end of a server without an announced departure: a newer incarnation replaces it on its VM, or its
- * agent reports it as gone because it comes back late or not at all. If the agent process was replaced too, the whole VM
- * was restarted, which a task cannot cause. Invariant: a crash is stored in the same write as the removal of the run, so
- * that a new placer neither misses it nor counts it twice.
+ * agent reports it as gone because it comes back late or not at all. If the agent process was replaced too, the whole
+ * VM was restarted, which a task cannot cause. Invariant: a crash is stored in the same write as the removal of the
+ * run, so that a new placer neither misses it nor counts it twice.
  */
 final class CrashMonitor {
     private static final Logger LOGGER = LoggerFactory.getLogger(CrashMonitor.class);
@@ -144,10 +144,13 @@
     }
 
     /**
-     * Weighs the crash against the other runs that the server had just started and the other losses of servers. Orders
-     * that were not confirmed may have reached the server only after its crash.
+     * Weighs the crash against the other runs that the server had just started and the other losses of servers. An
+     * order that was not confirmed may have reached the server only after its crash, or never.
      */
     private Evidence evidenceAgainst(Run run, List<Run> suspects, long now) {
+        if (!run.isConfirmed()) {
+            return Evidence.WEAK;
+        }
         boolean othersStarted = suspects.stream()
                 .anyMatch(other -> other.step != run.step && (other.isConfirmed() || other.isTakenOver()));
         long unexplained = recentCrashes.stream()
@@ -159,9 +162,6 @@
         boolean othersLost = unexplained > 0
                 || serversInTrouble(now).anyMatch(server -> !server.host.equals(run.server.host))
                 || simultaneousLosses(run.server, now).findAny().isPresent();
-        if (!run.isConfirmed()) {
-            return othersStarted ? Evidence.WEAK : Evidence.SUSPICIOUS;
-        }
         return othersStarted || othersLost ? Evidence.SUSPICIOUS : Evidence.CONCLUSIVE;
     }
 
