Count a crash that an agent reports as gone to a new placer

A task that crashes its servers was started 21 times in 200 s if the placer changed before the agent's notice: a server known only from the records counted as responsive, so its loss was taken for a departure. It is now attributed like any other. a_task_whose_servers_are_reported_as_gone_to_a_new_placer_is_not_started_without_limit failed before and passes.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
@@ -75,7 +75,8 @@
      * departure or answered until the end.
      */
     void serverGone(ServerState server, long now) {
-        if (!server.draining && !server.responsive) {
+        boolean answeredUntilTheEnd = server.hasReported() && server.responsive;
+        if (!server.draining && !answeredUntilTheEnd) {
             attribute(server, suspectsOn(server), true, now);
         }
     }
