Release the tasks of a step when the probe after a crash has lost contact

After a crash one suspected task of a step is started as a probe and the others wait for its result. A suspect that is delayed no longer keeps the others of the step from being probed. a_step_of_many_tasks_that_crash_their_servers_takes_down_each_server_at_most_once still passes.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashHold.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashHold.java
@@ -21,13 +21,18 @@
         if (!step.heldAfterCrash || suspects.isEmpty()) {
             return waiting;
         }
-        if (suspects.stream().anyMatch(task -> task.run != null)) {
+        if (suspects.stream().anyMatch(CrashHold::isProbed)) {
             return List.of();
         }
         return suspects.stream()
-                .min(Comparator.comparingInt(task -> -task.crashes.crashes().size()))
                 .filter(waiting::contains)
+                .min(Comparator.comparingInt(task -> -task.crashes.crashes().size()))
                 .stream()
                 .toList();
     }
+
+    /** Returns whether a run of the task may soon prove it harmless; one without contact to its agent does not. */
+    private static boolean isProbed(TaskState task) {
+        return task.run != null && task.run.server.connection != null;
+    }
 }
