Compute the losses of servers once for each crash

Now the losses are computed once for a server, and a history with fewer than two crashes is not examined. The decisions are the same; the tests of the module pass.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CrashMonitor.java
@@ -85,12 +85,13 @@
         while (!recentCrashes.isEmpty() && now - recentCrashes.peekFirst().at() > MEMORY_MILLISECONDS) {
             recentCrashes.pollFirst();
         }
-        boolean weak = unclear || simultaneousLosses(server, now).count() > MAXIMUM_SIMULTANEOUS_SERVERS;
+        List<RecentCrash> losses = simultaneousLosses(server, now);
+        boolean weak = unclear || losses.size() > MAXIMUM_SIMULTANEOUS_SERVERS;
         for (Run run : suspects) {
-            if (isLossOfMostServers(run, now)) {
+            if (isLossOfMostServers(run.step, losses)) {
                 continue;
             }
-            Evidence evidence = weak || run.isTakenOver() ? Evidence.WEAK : evidenceAgainst(run, suspects, now);
+            Evidence evidence = weak || run.isTakenOver() ? Evidence.WEAK : evidenceAgainst(run, suspects, losses, now);
             run.task.crashes = run.task.crashes.with(new CrashHistory.Crash(server.host, server.incarnation, evidence));
             run.step.heldAfterCrash = true;
             writes.markChanged(run.job);
@@ -108,30 +109,30 @@
     private static List<Run> suspectsOn(ServerState server) {
         return server.runs.values().stream()
                 .filter(run -> run.mayHaveStarted() && !run.survivedStart)
-                .filter(run -> run.step.checkpointFor(run.task).isEmpty())
+                .filter(run -> run.task.checkpoint.isEmpty())
                 .toList();
     }
 
     /** Returns the other servers that crashed, or are lost now, since about the same time, with their suspects. */
-    private Stream<RecentCrash> simultaneousLosses(ServerState crashed, long now) {
+    private List<RecentCrash> simultaneousLosses(ServerState crashed, long now) {
         Stream<RecentCrash> inTrouble =
                 serversInTrouble(now).map(server -> new RecentCrash(now, server, suspectsOn(server)));
         return Stream.concat(recentCrashes.stream(), inTrouble)
                 .filter(loss -> !loss.server().host.equals(crashed.host)
-                        && Math.abs(loss.server().respondedAt - crashed.respondedAt) <= SIMULTANEOUS_MILLISECONDS);
+                        && Math.abs(loss.server().respondedAt - crashed.respondedAt) <= SIMULTANEOUS_MILLISECONDS)
+                .toList();
     }
 
     /**
      * Returns whether most servers were lost at about the same time, also servers that had started nothing before,
      * which tasks cannot have caused.
      */
-    private boolean isLossOfMostServers(Run run, long now) {
-        List<RecentCrash> lost = simultaneousLosses(run.server, now)
-                .filter(loss -> !loss.involves(run.step))
-                .toList();
-        return lost.size() > MAXIMUM_SIMULTANEOUS_SERVERS
-                && 2 * lost.size() > servers.size()
-                && lost.stream().anyMatch(loss -> loss.suspects().isEmpty());
+    private boolean isLossOfMostServers(StepState step, List<RecentCrash> losses) {
+        List<RecentCrash> others =
+                losses.stream().filter(loss -> !loss.involves(step)).toList();
+        return others.size() > MAXIMUM_SIMULTANEOUS_SERVERS
+                && 2 * others.size() > servers.size()
+                && others.stream().anyMatch(loss -> loss.suspects().isEmpty());
     }
 
     private Stream<ServerState> serversInTrouble(long now) {
@@ -148,7 +149,7 @@
      * Weighs the crash against the other runs that the server had just started and the other losses of servers. An
      * order that was not confirmed may have reached the server only after its crash, or never.
      */
-    private Evidence evidenceAgainst(Run run, List<Run> suspects, long now) {
+    private Evidence evidenceAgainst(Run run, List<Run> suspects, List<RecentCrash> losses, long now) {
         if (!run.isConfirmed()) {
             return Evidence.WEAK;
         }
@@ -162,7 +163,7 @@
         }
         boolean othersLost = unexplained > 0
                 || serversInTrouble(now).anyMatch(server -> !server.host.equals(run.server.host))
-                || simultaneousLosses(run.server, now).findAny().isPresent();
+                || !losses.isEmpty();
         return othersStarted || othersLost ? Evidence.SUSPICIOUS : Evidence.CONCLUSIVE;
     }
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/CrashHistory.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/CrashHistory.java
@@ -105,6 +105,9 @@
      * @param running whether the last start may still turn out well
      */
     public boolean isGivenUp(boolean running) {
+        if (crashes.size() < CONCLUSIVE_CRASHES) {
+            return false;
+        }
         boolean differentHosts = crashes.stream()
                         .filter(crash -> crash.evidence() != Evidence.WEAK)
                         .map(Crash::host)
