Name the series of reads, steps that must start soon and suspicious crashes by what they are

WorkAgent called three things an incarnation: the server's, the agent process's and the number of its own series of reads. The doc of ServerOrders now says that a retried order may reach a later incarnation with the same identifier.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/ServerOrders.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/ServerOrders.java
@@ -14,8 +14,9 @@
  * Orders of the placer that an agent carries out and retries until its backend server answers. Mutable; confined to the
  * agent's event loop.
  *
- * <p>Invariant: nothing is retried or answered after {@link #drop}, so that an order never reaches a later incarnation
- * of the server and never follows an order of a later term.
+ * <p>Invariant: nothing is retried or answered after {@link #drop}, so that an order never follows one of a later term.
+ * An order that is retried before the first heartbeat of a later incarnation reaches it if both have the same
+ * identifier; the placer takes this into account when it replaces the server.
  */
 final class ServerOrders {
     private static final Logger LOGGER = LoggerFactory.getLogger(ServerOrders.class);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -72,7 +72,10 @@
     private long listsOperation;
     private List<RunningTask> running = List.of();
     private List<EndedTask> ended = List.of();
-    private long incarnation;
+
+    /** Number of the current series of reads; the answers to reads of an earlier one are ignored. */
+    private long readSeries;
+
     private long lastReportAt;
     private Sender sender;
 
@@ -110,12 +113,12 @@
      * give a new incarnation an earlier start time than its predecessor; a dead one does not answer.
      */
     private void verifyIncarnation(ServerHeartbeat candidate) {
-        long verifiedIncarnation = incarnation;
+        long verifiedSeries = readSeries;
         client.renewLeases(new BackendServerClient.LeaseRenewalRequest(
                         candidate.description().server(), highestTerm, 0, OptionalLong.empty(), 0))
                 .onFailure(failure -> LOGGER.debug("the sender of the heartbeat does not answer", failure))
                 .onSuccess(reply -> {
-                    if (verifiedIncarnation == incarnation
+                    if (verifiedSeries == readSeries
                             && reply.startMilliseconds()
                                     == candidate.description().incarnation()) {
                         LOGGER.info("the sender of the outdated heartbeat answers; the former incarnation is gone");
@@ -234,7 +237,7 @@
                 newHeartbeat.description().incarnation());
         serverGone = false;
         departureNoticed = false;
-        incarnation++;
+        readSeries++;
         acknowledged = 0;
         running = List.of();
         ended = List.of();
@@ -260,7 +263,7 @@
 
     /** Reads the lists of tasks and renews the leases if allowed; in the loop, the next read follows the response. */
     private void read(long waitMilliseconds, boolean loop) {
-        long readIncarnation = incarnation;
+        long series = readSeries;
         long number = ++lastOperation;
         long term = highestTerm;
         long sentAt = clock.nowMilliseconds();
@@ -268,7 +271,7 @@
         client.renewLeases(new BackendServerClient.LeaseRenewalRequest(
                         heartbeat.description().server(), term, acknowledged, expires, waitMilliseconds))
                 .onComplete(result -> {
-                    if (readIncarnation != incarnation) {
+                    if (series != readSeries) {
                         return;
                     }
                     boolean answered = result.succeeded() && isFromCurrentIncarnation(result.result());
@@ -300,7 +303,7 @@
                 clock.nowMilliseconds() - serverLastContactAt,
                 departureNoticed);
         serverGone = true;
-        incarnation++;
+        readSeries++;
         orders.drop();
         sendServerLeft();
         continueLoop(false);
@@ -312,12 +315,12 @@
     }
 
     private void continueLoop(boolean answered) {
-        long readIncarnation = incarnation;
+        long series = readSeries;
         boolean unacknowledged = !ended.isEmpty() && ended.getLast().number() > acknowledged;
         long delayMilliseconds =
                 answered ? unacknowledged ? UNACKNOWLEDGED_READ_DELAY_MILLISECONDS : 1 : RETRY_DELAY_MILLISECONDS;
         vertx.setTimer(serverGone ? GONE_READ_DELAY_MILLISECONDS : delayMilliseconds, timer -> {
-            if (readIncarnation == incarnation) {
+            if (series == readSeries) {
                 read(unacknowledged || !answered ? 0 : READ_WAIT_MILLISECONDS, true);
             }
         });
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -169,7 +169,7 @@
         }
         long waiting = step.gang() ? step.tasks.size() : 1;
         return freeCapacity.freeAccelerators() - waiting * perTask < reserve.accelerators()
-                && (waited <= SHORT_RESERVE_EXCLUSION_MILLISECONDS || !startsSoon(candidate, step));
+                && (waited <= SHORT_RESERVE_EXCLUSION_MILLISECONDS || !mustStartSoon(candidate, step));
     }
 
     private boolean placeGang(Candidate candidate, StepState step) {
@@ -191,11 +191,11 @@
                 && RackWait.isOver(
                         now - step.readySince,
                         preemptionLimits.expectedMilliseconds(step, candidate.queue()),
-                        candidate.entitled() || startsSoon(candidate, step));
+                        candidate.entitled() || mustStartSoon(candidate, step));
     }
 
     /** Returns whether the step must not wait long for a better placement if it could start. */
-    private boolean startsSoon(Candidate candidate, StepState step) {
+    private boolean mustStartSoon(Candidate candidate, StepState step) {
         return step.specification.longRunning()
                 || freeCapacity.isMostlyFree(candidate.queue().service());
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RackWait.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RackWait.java
@@ -22,10 +22,10 @@
      *
      * @param waitedMilliseconds time for which the gang has been ready
      * @param expectedMilliseconds expected run time in one rack
-     * @param startsSoon whether most of the service is free, or the gang is within a guarantee or long-running
+     * @param mustStartSoon whether most of the service is free, or the gang is within a guarantee or long-running
      */
-    static boolean isOver(long waitedMilliseconds, double expectedMilliseconds, boolean startsSoon) {
+    static boolean isOver(long waitedMilliseconds, double expectedMilliseconds, boolean mustStartSoon) {
         return waitedMilliseconds >= (SPREAD_SLOWDOWN - 1) * expectedMilliseconds
-                || startsSoon && waitedMilliseconds >= MAXIMUM_SHORT_WAIT_MILLISECONDS;
+                || mustStartSoon && waitedMilliseconds >= MAXIMUM_SHORT_WAIT_MILLISECONDS;
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Run.java
@@ -81,7 +81,7 @@
         this.startedAt = now;
         this.progressAt = now;
         this.createdUnderThisPlacer = state != RunState.RECOVERED;
-        this.isolated = task.crashes.isSuspicious() || step.heldAfterCrash && task.crashes.isSuspected();
+        this.isolated = task.crashes.hasSuspiciousCrash() || step.heldAfterCrash && task.crashes.isSuspected();
         this.startedWithoutCheckpoint = step.checkpointFor(task).isEmpty();
         this.pace = state == RunState.RECOVERED ? -1 : Pacing.FULL_PERCENT;
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/CrashHistory.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/CrashHistory.java
@@ -90,7 +90,7 @@
     }
 
     /** Returns whether one of the crashes has no other likely cause. */
-    public boolean isSuspicious() {
+    public boolean hasSuspiciousCrash() {
         return count(Evidence.SUSPICIOUS) > 0;
     }
 
