Verify every incarnation of a backend server before it is reported

Cause: only heartbeats with an earlier start time were verified. A heartbeat with a later one, and the first one that a restarted agent receives, were believed without a call to their sender.

Now each incarnation has to answer a call under its identifier and with its start time before the agent reports it. A dead or foreign sender cannot do that, because the call goes to the address of the server and names the incarnation. A heartbeat of the current incarnation with another service is ignored.

ClockStepTest announced an incarnation that its simulated server did not answer for; the set-up now starts that incarnation. Its checks are unchanged.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
@@ -60,7 +60,12 @@
             List<String> labels,
             long milliCores,
             long memoryMebibytes,
-            int accelerators) {}
+            int accelerators) {
+        /** Returns whether both describe the same incarnation of the same backend server. */
+        public boolean isSameIncarnation(ServerDescription other) {
+            return server.equals(other.server) && incarnation == other.incarnation;
+        }
+    }
 
     /**
      * State of a backend server, reported by its agent.
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -12,6 +12,7 @@
 import org.teaselwood.protocol.message.WorkMessage.OrderOutcome;
 import org.teaselwood.protocol.message.WorkMessage.OrderResult;
 import org.teaselwood.protocol.message.WorkMessage.RunningTask;
+import org.teaselwood.protocol.message.WorkMessage.ServerDescription;
 import org.teaselwood.protocol.message.WorkMessage.ServerReport;
 import org.teaselwood.workload.model.WorkloadTimings;
 
@@ -24,7 +25,8 @@
  * that placer, so that the placer knows when the runs of an unresponsive agent have ended; leases of a server that does
  * not answer are renewed for at most {@link #RENEWAL_LIMIT_MILLISECONDS}, and the server is reported as gone only after
  * every lease that it may have granted has expired; orders of an older term are dropped; a draining server gets no new
- * tasks.
+ * tasks; an incarnation is replaced only by one that answers at the address of the server, because anybody may send a
+ * heartbeat.
  */
 public final class WorkAgent {
     private static final Logger LOGGER = LoggerFactory.getLogger(WorkAgent.class);
@@ -54,6 +56,7 @@
     private final BackendServerClient client;
     private final ServerLeases leases;
     private final ServerOrders orders;
+    private final IncarnationVerification verification;
     private ServerHeartbeat heartbeat;
 
     /** Whether the server is reported as gone; it is back after an answer or with a newer incarnation. */
@@ -92,44 +95,46 @@
         this.client = client;
         this.leases = new ServerLeases(timings.maximumLeaseMilliseconds());
         this.orders = new ServerOrders(vertx, clock, client, leases, new OrderListener());
+        this.verification = new IncarnationVerification(vertx, client, () -> highestTerm, this::incarnationVerified);
     }
 
-    /** Processes a heartbeat of the server; one that is older than the last is ignored unless its sender answers. */
+    /**
+     * Processes a heartbeat. One of the current incarnation is ignored if it is older than the last or contradicts it;
+     * one of any other incarnation takes effect once that incarnation answers.
+     */
     public void heartbeatReceived(ServerHeartbeat newHeartbeat) {
-        if (heartbeat != null && isOlder(newHeartbeat)) {
-            LOGGER.info(
-                    "ignored an outdated heartbeat of {}",
-                    newHeartbeat.description().server());
-            if (!isSameIncarnation(newHeartbeat)) {
-                verifyIncarnation(newHeartbeat);
-            }
-            return;
+        ServerDescription described = newHeartbeat.description();
+        if (heartbeat == null || !heartbeat.description().isSameIncarnation(described)) {
+            verification.verify(newHeartbeat);
+        } else if (newHeartbeat.sequence() < heartbeat.sequence()) {
+            LOGGER.info("ignored an outdated heartbeat of {}", described.server());
+        } else if (!heartbeat.description().service().equals(described.service())) {
+            LOGGER.warn(
+                    "ignored a heartbeat of {} with service {} instead of {}",
+                    described.server(),
+                    described.service(),
+                    heartbeat.description().service());
+        } else {
+            acceptHeartbeat(newHeartbeat);
         }
-        acceptHeartbeat(newHeartbeat);
     }
 
     /**
-     * Replaces the incarnation by one with an earlier start time if that one answers. A step of the time of day may
-     * give a new incarnation an earlier start time than its predecessor; a dead one does not answer.
+     * Replaces the current incarnation by one that has answered. After a step of the time of day it may have an earlier
+     * start time than its predecessor, which the placer then has to learn to be gone.
      */
-    private void verifyIncarnation(ServerHeartbeat candidate) {
-        long verifiedSeries = readSeries;
-        client.renewLeases(new BackendServerClient.LeaseRenewalRequest(
-                        candidate.description().server(), highestTerm, 0, OptionalLong.empty(), 0))
-                .onFailure(failure -> LOGGER.debug("the sender of the heartbeat does not answer", failure))
-                .onSuccess(reply -> {
-                    if (verifiedSeries == readSeries
-                            && reply.startMilliseconds()
-                                    == candidate.description().incarnation()) {
-                        LOGGER.info("the sender of the outdated heartbeat answers; the former incarnation is gone");
-                        sendServerLeft();
-                        acceptHeartbeat(candidate);
-                    }
-                });
+    private void incarnationVerified(ServerHeartbeat verified) {
+        if (heartbeat != null
+                && verified.description().incarnation()
+                        < heartbeat.description().incarnation()) {
+            sendServerLeft();
+        }
+        acceptHeartbeat(verified);
     }
 
     private void acceptHeartbeat(ServerHeartbeat newHeartbeat) {
-        boolean newIncarnation = heartbeat == null || !isSameIncarnation(newHeartbeat);
+        boolean newIncarnation =
+                heartbeat == null || !heartbeat.description().isSameIncarnation(newHeartbeat.description());
         boolean drainingChanged = heartbeat == null || heartbeat.draining() != newHeartbeat.draining();
         if (!newIncarnation && newHeartbeat.sequence() > heartbeat.sequence()) {
             departureNoticed = false;
@@ -219,17 +224,6 @@
         }
     }
 
-    private boolean isOlder(ServerHeartbeat other) {
-        return isSameIncarnation(other)
-                ? other.sequence() < heartbeat.sequence()
-                : other.description().incarnation() < heartbeat.description().incarnation();
-    }
-
-    private boolean isSameIncarnation(ServerHeartbeat other) {
-        return other.description().server().equals(heartbeat.description().server())
-                && other.description().incarnation() == heartbeat.description().incarnation();
-    }
-
     private void beginIncarnation(ServerHeartbeat newHeartbeat) {
         LOGGER.info(
                 "backend server {} announced an incarnation started at {}",
@@ -238,6 +232,7 @@
         serverGone = false;
         departureNoticed = false;
         readSeries++;
+        verification.cancelAll();
         acknowledged = 0;
         running = List.of();
         ended = List.of();
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/AgentScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/AgentScenario.java
@@ -3,10 +3,13 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.teaselwood.protocol.message.WorkMessage;
 import org.teaselwood.protocol.message.WorkMessage.ServerDescription;
 import org.teaselwood.protocol.message.WorkMessage.ServerReport;
@@ -79,8 +82,18 @@
     }
 
     void heartbeat(String id, long startMilliseconds, boolean draining, long sequence) throws Exception {
+        heartbeat(id, "service", startMilliseconds, draining, sequence);
+    }
+
+    /** Sends a heartbeat of a server that is not draining. */
+    void heartbeat(String id, String service, long startMilliseconds, long sequence) throws Exception {
+        heartbeat(id, service, startMilliseconds, false, sequence);
+    }
+
+    private void heartbeat(String id, String service, long startMilliseconds, boolean draining, long sequence)
+            throws Exception {
         ServerDescription description = new ServerDescription(
-                id, startMilliseconds, "vm", "service", "centre", "rack", List.of("rack"), 32_000, 131_072, 8);
+                id, startMilliseconds, "vm", service, "centre", "rack", List.of("rack"), 32_000, 131_072, 8);
         onLoop(() -> agent.heartbeatReceived(new ServerHeartbeat(description, draining, now, sequence)));
     }
 
@@ -126,10 +139,22 @@
 
     /** Returns whether the agent has reported an incarnation as responsive. */
     boolean reportsResponsive(long startMilliseconds) {
-        return sent.stream()
-                .anyMatch(message -> message instanceof ServerReport report
-                        && report.responsive()
-                        && report.description().incarnation() == startMilliseconds);
+        return reports()
+                .anyMatch(report -> report.responsive() && report.description().incarnation() == startMilliseconds);
+    }
+
+    /** Returns whether the agent has reported an incarnation. */
+    boolean reportsIncarnation(long startMilliseconds) {
+        return reports().anyMatch(report -> report.description().incarnation() == startMilliseconds);
+    }
+
+    /** Returns the services of the reported servers. */
+    Set<String> reportedServices() {
+        return reports().map(report -> report.description().service()).collect(Collectors.toSet());
+    }
+
+    private Stream<ServerReport> reports() {
+        return sent.stream().filter(ServerReport.class::isInstance).map(ServerReport.class::cast);
     }
 
     void close() throws Exception {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/ClockStepTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/ClockStepTest.java
@@ -14,6 +14,7 @@
 
     @BeforeEach
     void announce() throws Exception {
+        scenario.incarnation = 50;
         scenario.heartbeat("i-1", 50, false, 9);
         scenario.connect();
         scenario.advance(1_000);
