Stop the members of a gang one after the other

Cause: stopping a member stopped the gang, which stopped the next member, so that the depth of the stack grew with the size of the gang. The deployed programs have 256 KB of stack for each thread. The same recursion served a cancelled start that was still being stored, a failed member and a lost server.

A gang is now stopped in one loop. A start that is still being stored is removed once: before, the loop over all runs of a job removed it again and counted its start as undone twice.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/EndedTaskHandler.java
@@ -86,9 +86,9 @@
                 }
                 task.failedOn.add(server.id);
                 countFailure(step, task, ended.attempt());
-                stopGangOf(step, task, ended, now);
+                stopGangOf(step, task, ended);
             }
-            default -> stopGangOf(step, task, ended, now);
+            default -> stopGangOf(step, task, ended);
         }
     }
 
@@ -96,9 +96,9 @@
      * Stops the other members of the gang after the end of a member. The end of an earlier attempt, which a server that
      * could not be reached reports late, does not concern the current one.
      */
-    private void stopGangOf(StepState step, TaskState task, EndedTask ended, long now) {
+    private void stopGangOf(StepState step, TaskState task, EndedTask ended) {
         if (ended.attempt() >= task.attempt) {
-            lifecycle.stopGang(step, now);
+            lifecycle.stopGang(step);
         }
     }
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
@@ -90,18 +90,36 @@
                 term, run.server.id, run.server.incarnation, run.task.name.toString(), run.attempt, run.pace));
     }
 
+    /** Stops a run, and with it the other members of its gang. */
     void stop(Run run, long now) {
+        if (stopAlone(run)) {
+            stopGang(run.step);
+            updatePhase(run.job, now);
+        }
+    }
+
+    /** Stops one run; returns false if it has been removed or is already being stopped. */
+    private boolean stopAlone(Run run) {
+        if (run.server.runs.get(run.key()) != run) {
+            return false;
+        }
         switch (run.state) {
-            case RECORDING -> removeHarmless(run, now);
+            case RECORDING -> {
+                run.task.crashes = run.task.crashes.withoutStart();
+                removeAlone(run);
+            }
             case ORDERED, RECOVERED, RUNNING -> {
                 run.state = RunState.STOPPING;
                 run.confirmedOperation = -1;
                 run.unconfirmedSince = 0;
                 sendStop(run.server, run.task.name.toString(), run.attempt);
-                stopGang(run.step, now);
             }
-            default -> LOGGER.debug("task {} is already being stopped", run.task.name);
+            default -> {
+                LOGGER.debug("task {} is already being stopped", run.task.name);
+                return false;
+            }
         }
+        return true;
     }
 
     /** Removes a run that is known not to have started or to have ended on a server that is still up. */
@@ -112,14 +130,22 @@
 
     /** Removes a run that is known to have ended and whose end the server will not report. */
     void remove(Run run, long now) {
-        run.server.runs.remove(run.key());
-        if (run.task.run == run) {
-            run.task.run = null;
-            writes.markChanged(run.job);
-            stopGang(run.step, now);
+        if (removeAlone(run)) {
+            stopGang(run.step);
             updatePhase(run.job, now);
         }
+    }
+
+    /** Removes one run; returns whether it was the current run of its task. */
+    private boolean removeAlone(Run run) {
+        run.server.runs.remove(run.key());
         changed = true;
+        if (run.task.run != run) {
+            return false;
+        }
+        run.task.run = null;
+        writes.markChanged(run.job);
+        return true;
     }
 
     /**
@@ -140,9 +166,13 @@
         sendStop(successor, former.task.name.toString(), former.attempt);
     }
 
-    void stopGang(StepState step, long now) {
+    /**
+     * Stops all members of a gang. They are stopped one after the other and not by each other, because the depth of the
+     * stack would grow with the size of the gang.
+     */
+    void stopGang(StepState step) {
         if (step.gang()) {
-            step.runs().toList().forEach(run -> stop(run, now));
+            step.runs().toList().forEach(this::stopAlone);
         }
     }
 
