Give up the election after an error of the placer's thread

Cause: DutyThread survived exceptions but not errors, and the election does not know whether the thread of the placer lives.

DutyThread now survives every error. Because an error may interrupt a change at any point, the handler discards its state first: the placer steps down, deletes the election key and stays out of the election for 2 s. Another entry reads the stored state and goes on; a single entry is elected again. The state is discarded before the log line is written, which needs memory too, and the step is repeated until both succeed.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/DutyThread.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/DutyThread.java
@@ -14,6 +14,9 @@
  * other connections. Events that nobody repeats, such as the outcome of a call, use a queue without a bound, which is
  * read first; the caller limits their number.
  *
+ * <p>Invariant: the thread ends only when it is closed. A handler that fails with an exception handles the next event;
+ * one that fails with an error discards its state before.
+ *
  * @param <E> type of the events
  */
 public final class DutyThread<E> implements AutoCloseable {
@@ -30,6 +33,9 @@
     private final Thread thread;
     private volatile boolean stopped;
 
+    /** Error after which the handler has not discarded its state yet, null if there is none. */
+    private Error unhandledError;
+
     /**
      * Handler of events and ticks, called only on the duty thread.
      *
@@ -41,6 +47,12 @@
 
         /** Performs periodic work, once per tick interval. */
         void tick(long nowMilliseconds);
+
+        /**
+         * Discards the state of the handler after an error such as a stack overflow or a lack of memory, which may have
+         * interrupted a change at any point. Called again if it fails.
+         */
+        default void discardState() {}
     }
 
     /**
@@ -95,6 +107,10 @@
     private void run() {
         long nextTick = clock.nowMilliseconds() + tickMilliseconds;
         while (!stopped) {
+            if (unhandledError != null) {
+                discardState();
+                continue;
+            }
             E unbounded = unboundedQueue.poll();
             E event = unbounded != null ? unbounded : ringBuffer.poll();
             if (event != null) {
@@ -111,11 +127,25 @@
     }
 
     /** Logs an exception of the handler, so that one failed event does not stop the processing of the next. */
-    private static void runAndLogException(Runnable action) {
+    private void runAndLogException(Runnable action) {
         try {
             action.run();
         } catch (RuntimeException exception) {
             LOGGER.error("event handler failed", exception);
+        } catch (Error error) {
+            unhandledError = error;
+        }
+    }
+
+    /** Discards the state before the error is logged, because the log line needs memory too. */
+    private void discardState() {
+        try {
+            handler.discardState();
+            LOGGER.error("event handler failed with an error; its state was discarded", unhandledError);
+            unhandledError = null;
+        } catch (RuntimeException | Error failure) {
+            unhandledError.addSuppressed(failure);
+            LockSupport.parkNanos(tickMilliseconds * 1_000_000);
         }
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.LongConsumer;
 import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,7 +35,7 @@
 
     private final KeyValueService store;
     private final WorkloadTimings timings;
-    private final LongConsumer termLost;
+    private final TermListener termListener;
     private final JobTimeRecorder timeRecorder;
     private final AdviceService advice;
     private DutyThread<PlacerEvent> thread;
@@ -53,17 +52,26 @@
      */
     private volatile long answerAgentsUntil = Long.MIN_VALUE;
 
+    /** Listener for events that end the term of this placer before its election is lost. Called on any thread. */
+    interface TermListener {
+        /** Called when the store no longer holds the term. */
+        void termLost(long term);
+
+        /** Called when the placer has failed, so that another entry should be elected. */
+        void placerFailed(long term);
+    }
+
     PlacerEventHandler(
             KeyValueService store,
             AdviceService advice,
             WorkloadTimings timings,
             JobTimeRecorder timeRecorder,
-            LongConsumer termLost) {
+            TermListener termListener) {
         this.advice = advice;
         this.timeRecorder = timeRecorder;
         this.store = store;
         this.timings = timings;
-        this.termLost = termLost;
+        this.termListener = termListener;
     }
 
     /** Sets the thread that runs this handler. */
@@ -141,6 +149,18 @@
         withPlacer(activePlacer -> activePlacer.advance(now));
     }
 
+    /** Gives up the term; a placer with a damaged state might start tasks twice, and one without a state does nothing. */
+    @Override
+    public void discardState() {
+        long failedTerm = term;
+        term = 0;
+        placer = null;
+        bufferedRequests.clear();
+        if (failedTerm != 0) {
+            termListener.placerFailed(failedTerm);
+        }
+    }
+
     @Override
     public void writeRecords(List<RecordWrite> writes) {
         long writeTerm = term;
@@ -325,7 +345,7 @@
         store.get(WorkloadKeys.PLACER)
                 .chain(item -> {
                     if (item.isEmpty() || item.get().revision() != writeTerm) {
-                        termLost.accept(writeTerm);
+                        termListener.termLost(writeTerm);
                     }
                     return store.list(WorkloadKeys.PROGRESS);
                 })
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
@@ -33,6 +33,9 @@
     private static final long RETRY_DELAY_MILLISECONDS = 200;
     private static final long READ_INTERVAL_MILLISECONDS = 1_000;
 
+    /** Time for which an entry whose placer has failed leaves the election to others. */
+    private static final long FAILURE_DELAY_MILLISECONDS = 2_000;
+
     private final Vertx vertx;
     private final MonotonicClock clock;
     private final KeyValueService store;
@@ -47,6 +50,9 @@
     private long nextActionAt;
     private long lastReadAt;
 
+    /** Time before which this entry does not try to be elected, in milliseconds. */
+    private long candidateAgainAt;
+
     /**
      * Entry that is a candidate in the election. Immutable.
      *
@@ -77,7 +83,7 @@
         this.store = store;
         this.candidate = candidate;
         this.listener = listener;
-        this.failureDetector = new PlacerFailureDetector(vertx, this::placerFailed);
+        this.failureDetector = new PlacerFailureDetector(vertx, this::placerUnreachable);
     }
 
     /** Starts taking part in the election; must be called on the event loop. */
@@ -98,13 +104,25 @@
         }
     }
 
+    /** Steps down after the placer of the given term has failed, and leaves the election to other entries for a while. */
+    public void placerFailed(long failedTerm) {
+        if (term == failedTerm && term != 0) {
+            candidateAgainAt = clock.nowMilliseconds() + FAILURE_DELAY_MILLISECONDS;
+            giveUpTerm("the placer has failed");
+        }
+    }
+
     /** Steps down and deletes the election key, so that another entry is elected at once. */
     public void resign() {
         stopped = true;
         failureDetector.stopMonitoring();
+        giveUpTerm("the entry is shutting down");
+    }
+
+    private void giveUpTerm(String reason) {
         if (term != 0) {
             long resigned = term;
-            stepDown("the entry is shutting down");
+            stepDown(reason);
             store.transact(new KeyValueTransaction(
                             List.of(new KeyValueCondition(WorkloadKeys.PLACER, resigned)),
                             List.of(new KeyValueOperation.Delete(WorkloadKeys.PLACER))))
@@ -168,7 +186,7 @@
                 return;
             }
         }
-        if (stopped || !eligible || operationInProgress) {
+        if (stopped || !eligible || operationInProgress || clock.nowMilliseconds() < candidateAgainAt) {
             return;
         }
         item.filter(found -> !isOwn(found)).flatMap(PlacerLink::decode).ifPresent(failureDetector::monitor);
@@ -179,7 +197,7 @@
         }
     }
 
-    private void placerFailed(long failedTerm) {
+    private void placerUnreachable(long failedTerm) {
         if (!stopped && eligible && !operationInProgress && term == 0) {
             scheduleCampaign(failedTerm);
         }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/WorkEntry.java
@@ -52,8 +52,18 @@
         this.store = store;
         this.key = key;
         this.candidate = candidate;
-        this.placerEvents = new PlacerEventHandler(
-                store, advice, timings, timeRecorder, term -> vertx.runOnContext(ignored -> termLost(term)));
+        this.placerEvents =
+                new PlacerEventHandler(store, advice, timings, timeRecorder, new PlacerEventHandler.TermListener() {
+                    @Override
+                    public void termLost(long term) {
+                        vertx.runOnContext(ignored -> election.termLost(term));
+                    }
+
+                    @Override
+                    public void placerFailed(long term) {
+                        vertx.runOnContext(ignored -> election.placerFailed(term));
+                    }
+                });
         this.placerEvents.runOn(
                 new DutyThread<>("placer", RING_BUFFER_EVENTS, TICK_INTERVAL_MILLISECONDS, clock, placerEvents));
         this.election = new TermElection(vertx, clock, store, candidate, new TermElection.Listener() {
@@ -97,10 +107,6 @@
         vertx.runOnContext(ignored -> election.resign());
     }
 
-    private void termLost(long term) {
-        election.termLost(term);
-    }
-
     private void openWatch() {
         store.watch(WorkloadKeys.REQUESTS, new KeyValueService.WatchListener() {
             @Override
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/entry/FullRingBufferTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/entry/FullRingBufferTest.java
@@ -49,7 +49,7 @@
             AdviceService.unavailable(),
             new WorkloadTimings(6_000, 3_000, 200, 120_000),
             (name, team, queue, milliseconds) -> {},
-            term -> {});
+            new IgnoredTermEvents());
     private final DutyThread<PlacerEvent> thread =
             new DutyThread<>("placer", RING_BUFFER_EVENTS, 10, () -> System.nanoTime() / 1_000_000, placerEvents);
     private volatile boolean blocksNextAnswer;
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/entry/PlacerEventHandlerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/entry/PlacerEventHandlerTest.java
@@ -31,13 +31,23 @@
     private static final int MAXIMUM_ATTEMPTS = 50;
 
     private final LinkedBlockingQueue<WorkMessage> answers = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Long> failedTerms = new LinkedBlockingQueue<>();
     private final PlacerEventHandler placerEvents = new PlacerEventHandler(
             new EmptyStore(),
             AdviceService.unavailable(),
             new WorkloadTimings(6_000, 3_000, 200, 120_000),
             (name, team, queue, milliseconds) -> {},
-            term -> {});
+            new PlacerEventHandler.TermListener() {
+                @Override
+                public void termLost(long term) {}
+
+                @Override
+                public void placerFailed(long term) {
+                    failedTerms.add(term);
+                }
+            });
     private volatile long now = 100_000;
+    private volatile boolean failsNextAnswer;
     private final DutyThread<PlacerEvent> thread = new DutyThread<>("placer", 64, 10, () -> now, placerEvents);
     private final AgentConnection connection = new AgentConnection() {
         @Override
@@ -47,6 +57,10 @@
 
         @Override
         public void send(WorkMessage message) {
+            if (failsNextAnswer) {
+                failsNextAnswer = false;
+                throw new StackOverflowError("test");
+            }
             answers.add(message);
         }
     };
@@ -115,6 +129,19 @@
         awaitAnswer();
     }
 
+    /** Guards against a placer whose thread has ended while its entry keeps the election: nothing would start any more. */
+    @Test
+    void a_placer_that_fails_with_an_error_gives_up_its_term_and_works_in_the_next_one() throws Exception {
+        awaitAnswer();
+        failsNextAnswer = true;
+        assertThat(isAnswered()).isFalse();
+        assertThat(failedTerms.poll(ANSWER_WAIT_MILLISECONDS, TimeUnit.MILLISECONDS))
+                .isEqualTo(TERM);
+        assertThat(isAnswered()).isFalse();
+        placerEvents.offer(new PlacerEvent.Elected(TERM + 1));
+        awaitAnswer();
+    }
+
     /** Repeats reports until one is answered, because the placer may not have read the stored jobs yet. */
     private void awaitAnswer() throws InterruptedException {
         boolean answered = false;
