Keep the state of occurrences only while they are due and unfinished

Cause: the placer created the state of all occurrences of a job at once, kept it for finished occurrences and ended jobs, and nothing limited the sum over all jobs. Plain jobs with many tasks had the same effect.

State now begins when an occurrence is due and ends when it is finished. The number of tasks with a state is limited; due work beyond it waits in the order of priority and age, and small occurrences have room of their own. Ends of tasks without a state are acknowledged with the report that brings them and not with the next write of another job.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/JobSpecification.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/JobSpecification.java
@@ -52,6 +52,16 @@
         this(id, queue, team, payload, steps, startAtMilliseconds, intervalMilliseconds, occurrences, Optional.empty());
     }
 
+    /** Returns a step by its number, empty if there is none. */
+    public Optional<StepSpecification> step(int number) {
+        return number >= 0 && number < steps.size() ? Optional.of(steps.get(number)) : Optional.empty();
+    }
+
+    /** Returns the number of tasks of one occurrence. */
+    public long tasksPerOccurrence() {
+        return steps.stream().mapToLong(StepSpecification::count).sum();
+    }
+
     /** Returns whether the job has a schedule. */
     public boolean scheduled() {
         return occurrences > 0;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CheckpointWrites.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/CheckpointWrites.java
@@ -28,7 +28,7 @@
         storedAt = now;
         jobs.values().stream()
                 .filter(job -> !job.phase.isFinal())
-                .filter(job -> job.steps.stream().anyMatch(step -> step.hasUnstoredCheckpoint))
+                .filter(job -> job.steps().anyMatch(step -> step.hasUnstoredCheckpoint))
                 .forEach(writes::markChanged);
     }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Entitlements.java
@@ -50,7 +50,7 @@
      * miss less those already missing, so that preemptions cannot exceed that number in any order.
      */
     private void findInterruptible(JobState job) {
-        job.steps.stream()
+        job.steps()
                 .filter(step -> step.specification.longRunning() && step.specification.maximumUnavailable() > 0)
                 .forEach(step -> {
                     List<Run> readyRuns = step.runs().filter(Run::isReady).toList();
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobRestoration.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobRestoration.java
@@ -22,13 +22,22 @@
         job.phase = stored.record().phase();
         job.recordRevision = stored.revision();
         job.endedAt = now;
+        job.occurrences.restoreFinished(stored.record().finished());
         for (StepRecord stepRecord : stored.record().steps()) {
+            if (job.phase.isFinal() && !hasRuns(stepRecord)) {
+                continue;
+            }
+            job.occurrences.begin(stepRecord.occurrence());
             job.step(stepRecord.occurrence(), stepRecord.step())
                     .filter(step -> step.tasks.size() == stepRecord.tasks().size())
                     .ifPresent(step -> restoreStep(job, step, stepRecord, now));
         }
     }
 
+    private static boolean hasRuns(StepRecord stepRecord) {
+        return stepRecord.tasks().stream().anyMatch(task -> !task.server().isEmpty());
+    }
+
     private void restoreStep(JobState job, StepState step, StepRecord stepRecord, long now) {
         for (int index = 0; index < step.tasks.size(); index++) {
             TaskState task = step.tasks.get(index);
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobState.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/JobState.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.teaselwood.workload.model.JobSpecification;
 import org.teaselwood.workload.model.TaskName;
@@ -24,7 +23,8 @@
     /** Revision of the key-value service at which the job was accepted; defines the order of jobs by age. */
     final long acceptedRevision;
 
-    final List<StepState> steps;
+    /** State of the occurrences that have begun. */
+    final OccurrenceStates occurrences;
 
     /**
      * Time at which this placer learned of the job, in milliseconds; negative if an earlier placer had stored progress.
@@ -53,27 +53,20 @@
     JobState(JobSpecification specification, long acceptedRevision) {
         this.specification = specification;
         this.acceptedRevision = acceptedRevision;
-        this.steps = IntStream.range(0, Math.max(1, specification.occurrences()))
-                .boxed()
-                .flatMap(occurrence -> IntStream.range(0, specification.steps().size())
-                        .mapToObj(number -> new StepState(
-                                specification.id(),
-                                occurrence,
-                                number,
-                                specification.steps().get(number))))
-                .toList();
+        this.occurrences = new OccurrenceStates(specification);
     }
 
     String id() {
         return specification.id();
     }
 
+    /** Returns the steps of all occurrences that have begun and are not finished. */
+    Stream<StepState> steps() {
+        return occurrences.steps();
+    }
+
     Optional<StepState> step(int occurrence, int number) {
-        int stepsPerOccurrence = specification.steps().size();
-        int position = occurrence * stepsPerOccurrence + number;
-        return number >= 0 && number < stepsPerOccurrence && position >= 0 && position < steps.size()
-                ? Optional.of(steps.get(position))
-                : Optional.empty();
+        return occurrences.step(occurrence, number);
     }
 
     Optional<TaskState> task(TaskName name) {
@@ -92,7 +85,7 @@
     }
 
     Stream<Run> runs() {
-        return steps.stream().flatMap(StepState::runs);
+        return steps().flatMap(StepState::runs);
     }
 
     /** Runs the action once this version of the job is stored. */
@@ -115,9 +108,7 @@
         return new JobRecord(
                 phase,
                 specification.team(),
-                steps.stream()
-                        .filter(StepState::started)
-                        .map(StepState::toRecord)
-                        .toList());
+                occurrences.finishedRanges(),
+                steps().filter(StepState::started).map(StepState::toRecord).toList());
     }
 }
--- /dev/null
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/OccurrenceAdmission.java
@@ -0,0 +1,74 @@
+package org.teaselwood.workload.placer;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.teaselwood.workload.model.QueueSettings;
+import org.teaselwood.workload.model.WorkloadConfiguration;
+
+/**
+ * Decides which due occurrences of jobs get a state in memory, and drops the state that is no longer needed. Mutable;
+ * confined to the placer's duty thread.
+ *
+ * <p>Invariant: the number of tasks with a state is bounded, whatever callers submit; due occurrences beyond the limit
+ * wait, in the order of priority and age, until others have finished. Small occurrences have room of their own, so that
+ * they do not wait for a few large jobs.
+ */
+final class OccurrenceAdmission {
+    /** Tasks with a state; about 250 bytes each, in a heap of 96 MB. */
+    static final long MAXIMUM_TASKS = 40_000;
+
+    /** Tasks of the overlapping occurrences of one job; a single occurrence may have more. */
+    static final long MAXIMUM_TASKS_OF_JOB = 2_000;
+
+    /** Tasks of an occurrence that may use the additional room. */
+    private static final long SMALL_OCCURRENCE_TASKS = 200;
+
+    /** Room for small occurrences beyond {@link #MAXIMUM_TASKS}. */
+    private static final long ADDITIONAL_TASKS = 20_000;
+
+    private long tasks;
+
+    /** Begins due occurrences of open jobs as far as the limits allow. */
+    void admit(Collection<JobState> open, WorkloadConfiguration configuration, long wallMilliseconds) {
+        List<JobState> due = open.stream()
+                .filter(job -> job.occurrences.hasDueOccurrence(wallMilliseconds))
+                .sorted(Comparator.comparingInt((JobState job) -> priority(job, configuration))
+                        .thenComparingLong(job -> job.acceptedRevision))
+                .toList();
+        if (due.isEmpty()) {
+            return;
+        }
+        tasks = open.stream().mapToLong(job -> job.occurrences.tasks()).sum();
+        due.forEach(job -> {
+            while (job.occurrences.hasDueOccurrence(wallMilliseconds) && fits(job)) {
+                job.occurrences.beginNext();
+                tasks += job.specification.tasksPerOccurrence();
+            }
+        });
+    }
+
+    private boolean fits(JobState job) {
+        long added = job.specification.tasksPerOccurrence();
+        long ofJob = job.occurrences.tasks();
+        boolean mayOverlap = ofJob == 0 || ofJob + added <= MAXIMUM_TASKS_OF_JOB;
+        long limit = added <= SMALL_OCCURRENCE_TASKS ? MAXIMUM_TASKS + ADDITIONAL_TASKS : MAXIMUM_TASKS;
+        return mayOverlap && (tasks == 0 || tasks + added <= limit);
+    }
+
+    private static int priority(JobState job, WorkloadConfiguration configuration) {
+        return configuration
+                .queue(job.specification.queue())
+                .map(QueueSettings::priority)
+                .orElse(Integer.MAX_VALUE);
+    }
+
+    /** Drops the state of finished occurrences, and of jobs that have ended and are stored. */
+    static void dropUnneeded(Collection<JobState> jobs) {
+        jobs.stream().filter(job -> job.specification.scheduled()).forEach(job -> job.occurrences.dropFinished());
+        jobs.stream()
+                .filter(job -> job.phase.isFinal() && job.storedVersion == job.version)
+                .filter(job -> job.runs().findAny().isEmpty())
+                .forEach(job -> job.occurrences.dropAll());
+    }
+}
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/PlacementPass.java
@@ -92,7 +92,7 @@
                 .filter(job -> configuration.queue(job.specification.queue()).isEmpty())
                 .forEach(job -> waitingStepLog.queueMissing(job, now));
         List<Candidate> candidates = candidates();
-        candidates.stream().flatMap(candidate -> candidate.job().steps.stream()).forEach(step -> {
+        candidates.stream().flatMap(candidate -> candidate.job().steps()).forEach(step -> {
             if (!step.reservation.isActive(now)) {
                 step.reservation = CapacityReservation.NONE;
             }
@@ -115,7 +115,9 @@
     }
 
     private void placeJob(Candidate candidate) {
-        candidate.job().steps.stream()
+        candidate
+                .job()
+                .steps()
                 .filter(step -> !step.done() && candidate.job().isReady(step, wallMilliseconds))
                 .forEach(step -> placeStep(candidate, step));
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
@@ -9,6 +9,7 @@
 import org.teaselwood.protocol.message.WorkMessage.RunningTask;
 import org.teaselwood.protocol.message.WorkMessage.ServerReport;
 import org.teaselwood.workload.model.Resources;
+import org.teaselwood.workload.model.StepSpecification;
 import org.teaselwood.workload.model.TaskName;
 import org.teaselwood.workload.record.JobPhase;
 
@@ -76,9 +77,9 @@
 
     private void stopOrphanedRun(ServerState server, String key, RunningTask task) {
         Resources taken = TaskName.parse(task.task())
-                .flatMap(name -> Optional.ofNullable(jobs.get(name.job()))
-                        .flatMap(job -> job.step(name.occurrence(), name.step())))
-                .map(step -> step.specification.reserved())
+                .flatMap(name ->
+                        Optional.ofNullable(jobs.get(name.job())).flatMap(job -> job.specification.step(name.step())))
+                .map(StepSpecification::reserved)
                 .orElse(Resources.NONE);
         server.orphanedRuns.put(key, taken);
         LOGGER.warn(
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/RunLifecycle.java
@@ -180,16 +180,16 @@
         if (job.phase.isFinal()) {
             return;
         }
-        boolean crashing = job.steps.stream()
+        boolean crashing = job.steps()
                 .flatMap(step -> step.tasks.stream())
                 .anyMatch(task -> !task.done && task.crashes.isGivenUp(task.run != null));
-        boolean exhausted = job.steps.stream()
+        boolean exhausted = job.steps()
                 .filter(step -> !step.specification.longRunning())
                 .flatMap(step -> step.tasks.stream())
                 .anyMatch(task -> !task.done && task.failures() >= job.maximumAttempts);
         if (exhausted || crashing) {
             finish(job, JobPhase.FAILED, now);
-        } else if (job.steps.stream().allMatch(StepState::done)) {
+        } else if (job.occurrences.allDone()) {
             finish(job, JobPhase.COMPLETED, now);
         }
     }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WaitingStepLog.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WaitingStepLog.java
@@ -70,14 +70,17 @@
 
     /** Logs that a job cannot be placed because no configuration has its queue, if a line is due. */
     void queueMissing(JobState job, long now) {
-        StepState step = job.steps.getFirst();
-        if (step.readySince == 0) {
-            step.readySince = now;
-        }
-        if (isDue(step, now)) {
-            LOGGER.warn(
-                    "job {} waits: its queue {} is missing in the configuration", job.id(), job.specification.queue());
-        }
+        job.steps().findFirst().ifPresent(step -> {
+            if (step.readySince == 0) {
+                step.readySince = now;
+            }
+            if (isDue(step, now)) {
+                LOGGER.warn(
+                        "job {} waits: its queue {} is missing in the configuration",
+                        job.id(),
+                        job.specification.queue());
+            }
+        });
     }
 
     private boolean isDue(StepState step, long now) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/WorkPlacer.java
@@ -84,6 +84,7 @@
 
     private final ActiveConfiguration configuration;
     private final RunTimes runTimes = new RunTimes();
+    private final OccurrenceAdmission admission = new OccurrenceAdmission();
     private final UrgentReserve reserve = new UrgentReserve();
     private final WaitingStepLog waitingStepLog = new WaitingStepLog();
     private long pendingPublishedAt;
@@ -202,6 +203,8 @@
             reconciliation.repeatOrders(server, now);
         }
         reconciliation.withdrawStartsBeyondCapacity(server, now);
+        // An end that changes no job is acknowledged without a write.
+        server.acknowledgeStored();
         connection.send(new WorkMessage.Contact(
                 term, report.sentMilliseconds(), server.id, server.incarnation, server.lastAcknowledgedEnd));
         if (changed) {
@@ -372,6 +375,7 @@
         supervision.check(now);
         crashes.check(now);
         checkpointWrites.check(now);
+        OccurrenceAdmission.dropUnneeded(jobs.values());
         retention.check(now);
     }
 
@@ -381,6 +385,7 @@
         passes++;
         lifecycle.takeChanged();
         List<JobState> open = openJobs().toList();
+        admission.admit(open, current, effects.wallMilliseconds());
         minimumPassIntervalMilliseconds = Math.min(
                 MAXIMUM_PASS_INTERVAL_MILLISECONDS, (long) open.size() * servers.size() / PAIRS_PER_MILLISECOND);
         new PlacementPass(
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -71,6 +71,10 @@
     /** Encodes the progress of a job. */
     public static byte[] encode(JobRecord job) {
         JsonArray steps = new JsonArray();
+        // Among the steps, because an earlier build refuses such a record and does not run the occurrences again.
+        job.finished()
+                .forEach(range -> steps.add(
+                        new JsonObject().put("finishedFrom", range.first()).put("finishedTo", range.last())));
         for (StepRecord step : job.steps()) {
             JsonArray tasks = new JsonArray();
             step.tasks()
@@ -105,10 +109,20 @@
                         JobPhase.valueOf(json.getString("phase")),
                         json.getString("team"),
                         JsonArrays.objects(json.getJsonArray("steps"))
+                                .filter(WorkloadJson::isFinishedRange)
+                                .map(range -> new OccurrenceRange(
+                                        range.getInteger("finishedFrom"), range.getInteger("finishedTo")))
+                                .toList(),
+                        JsonArrays.objects(json.getJsonArray("steps"))
+                                .filter(step -> !isFinishedRange(step))
                                 .map(WorkloadJson::stepRecord)
                                 .toList()));
     }
 
+    private static boolean isFinishedRange(JsonObject json) {
+        return json.containsKey("finishedFrom");
+    }
+
     /** Encodes the number of waiting jobs by queue. */
     public static byte[] encodePending(Map<String, Integer> pending) {
         JsonObject json = new JsonObject();
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -311,6 +311,11 @@
         nextReport = 0;
     }
 
+    /** Returns the number of the last end. */
+    long endNumber() {
+        return endNumber;
+    }
+
     private void report() {
         if (startingReports > 0) {
             reportWhileStarting();
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/PlacerScenario.java
@@ -127,6 +127,10 @@
         server.connect(term);
     }
 
+    WorkloadConfiguration configuration() {
+        return configuration;
+    }
+
     void configure(WorkloadConfiguration newConfiguration) {
         configuration = newConfiguration;
         placer.configurationChanged(newConfiguration);
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/record/WorkloadJsonTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/record/WorkloadJsonTest.java
@@ -50,4 +50,15 @@
                 .containsExactly(4, 2, false, "s1", 17, "vm1", "checkpoint")
                 .inOrder();
     }
+
+    /** Guards against an occurrence that is run again after a change of the placer. */
+    @Test
+    void finished_occurrences_survive_encoding() {
+        JobRecord record = new JobRecord(
+                JobPhase.RUNNING,
+                "team",
+                List.of(new OccurrenceRange(0, 6), new OccurrenceRange(8, 8)),
+                jobWith(TASK).steps());
+        assertThat(WorkloadJson.decodeRecord(WorkloadJson.encode(record))).isEqualTo(record);
+    }
 }
