Do not take a run for ended while the list of ends is incomplete

Cause: a run in neither list of a report counted as ended without a result. The list of ends was taken for complete, in each report, in the first one of a new term and in the first one of a restarted agent.

Reports now say whether more runs may have ended. The placer then applies the listed ends and judges missing runs by a later report. A report of an earlier build lacks the field and decodes as complete; any other missing field is refused as before. The simulated server of the tests lists the ends that a restarted agent has read, which it left out before.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/RecordCodec.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/RecordCodec.java
@@ -19,6 +19,7 @@
 import org.msgpack.core.MessageUnpacker;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.protocol.message.AbsentInEarlierBuilds;
 import org.teaselwood.protocol.message.Message;
 
 /**
@@ -28,6 +29,8 @@
  * <p>The codec uses reflection, so that adding a message requires only its record and wire number. Components may be
  * int, long, double, boolean, String, byte[], enums, records, and List, Set, Map and Optional of these. Trailing
  * elements that the receiver does not know are skipped, so that a newer sender can add fields during a rolling upgrade.
+ * For the same reason, a trailing boolean with {@link AbsentInEarlierBuilds} is false if it is missing; any other missing
+ * field is refused.
  */
 final class RecordCodec {
     private final Map<Class<?>, Layout> layouts = new ConcurrentHashMap<>();
@@ -49,14 +52,16 @@
     <T> T unpack(MessageUnpacker unpacker, Class<T> type) throws IOException {
         Layout layout = layoutOf(type);
         int fieldCount = unpacker.unpackArrayHeader();
-        if (fieldCount < layout.components.length) {
+        if (fieldCount < layout.requiredFields()) {
             throw badFrame(type.getSimpleName() + " has only " + fieldCount + " fields");
         }
         Object[] values = new Object[layout.components.length];
         for (int index = 0; index < values.length; index++) {
-            values[index] = unpackValue(unpacker, layout.components[index].getGenericType());
+            values[index] = index < fieldCount
+                    ? unpackValue(unpacker, layout.components[index].getGenericType())
+                    : Boolean.FALSE;
         }
-        unpacker.skipValue(fieldCount - values.length);
+        unpacker.skipValue(Math.max(0, fieldCount - values.length));
         return type.cast(layout.create(values));
     }
 
@@ -202,6 +207,13 @@
             }
         }
 
+        /** Returns the number of fields that every build sends. */
+        int requiredFields() {
+            return (int) Arrays.stream(components)
+                    .filter(component -> !component.isAnnotationPresent(AbsentInEarlierBuilds.class))
+                    .count();
+        }
+
         Object read(RecordComponent component, Object value) {
             try {
                 return component.getAccessor().invoke(value);
--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/message/WorkMessage.java
@@ -78,7 +78,9 @@
      * @param operation number of the call to the backend server that returned the lists; calls are numbered in the
      *     order in which they begin
      * @param running running tasks
-     * @param ended ended runs that have not been acknowledged
+     * @param ended ended runs that have not been acknowledged, in the order of their numbers
+     * @param moreEnded whether further runs may have ended that are not in the list; a run in neither list may then
+     *     have ended successfully
      */
     record ServerReport(
             ServerDescription description,
@@ -89,8 +91,33 @@
             long sentMilliseconds,
             long operation,
             List<RunningTask> running,
-            List<EndedTask> ended)
-            implements WorkMessage {}
+            List<EndedTask> ended,
+            @AbsentInEarlierBuilds boolean moreEnded)
+            implements WorkMessage {
+        /** Creates a report with a complete list of ended runs. */
+        public ServerReport(
+                ServerDescription description,
+                long agentIncarnation,
+                long term,
+                boolean draining,
+                boolean responsive,
+                long sentMilliseconds,
+                long operation,
+                List<RunningTask> running,
+                List<EndedTask> ended) {
+            this(
+                    description,
+                    agentIncarnation,
+                    term,
+                    draining,
+                    responsive,
+                    sentMilliseconds,
+                    operation,
+                    running,
+                    ended,
+                    false);
+        }
+    }
 
     /** Outcome of an order. */
     enum OrderOutcome {
--- a/teaselwood-protocol/src/test/java/org/teaselwood/protocol/MessageCodecTest.java
+++ b/teaselwood-protocol/src/test/java/org/teaselwood/protocol/MessageCodecTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.teaselwood.model.AttemptIdentifier;
 import org.teaselwood.model.BackendServer;
 import org.teaselwood.model.Configuration;
@@ -35,6 +38,7 @@
 import org.teaselwood.protocol.message.Message;
 import org.teaselwood.protocol.message.RegionView;
 import org.teaselwood.protocol.message.TaskSpecification;
+import org.teaselwood.protocol.message.WorkMessage;
 
 /** Tests of the message codec with messages that cover the component types. */
 class MessageCodecTest {
@@ -134,4 +138,28 @@
             }
         }
     }
+
+    /** Guards against agents of an earlier build whose reports are refused while the entries are replaced first. */
+    @Test
+    void a_report_of_an_earlier_build_is_decoded() throws IOException {
+        WorkMessage.ServerReport report = new WorkMessage.ServerReport(
+                new WorkMessage.ServerDescription("s", 1, "vm", "service", "d", "r", List.of(), 1, 1, 1),
+                1,
+                1,
+                false,
+                true,
+                1,
+                1,
+                List.of(),
+                List.of(new WorkMessage.EndedTask(1, "job.0.0.0", 1, WorkMessage.EndKind.DONE, "")));
+        byte[] frame = MessageCodec.encode(report);
+        MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame);
+        unpacker.unpackInt();
+        // The header of an array of ten fields becomes one of nine, and the last field is left out.
+        frame[(int) unpacker.getTotalReadBytes()]--;
+        assertThat(MessageCodec.decode(Arrays.copyOf(frame, frame.length - 1))).isEqualTo(report);
+        frame[(int) unpacker.getTotalReadBytes()]--;
+        byte[] withoutEnds = Arrays.copyOf(frame, frame.length - 1);
+        assertThrows(TeaselwoodException.class, () -> MessageCodec.decode(withoutEnds));
+    }
 }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/BackendServerClient.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/BackendServerClient.java
@@ -28,9 +28,14 @@
      *
      * @param startMilliseconds start time of the server's incarnation, in milliseconds since 1970; 0 if unknown
      * @param clockMilliseconds the server's clock, negative if unknown
+     * @param moreEnded whether the list of ended tasks may be incomplete, because the server limits its length
      */
     record LeaseRenewalResponse(
-            long startMilliseconds, long clockMilliseconds, List<RunningTask> running, List<EndedTask> ended) {}
+            long startMilliseconds,
+            long clockMilliseconds,
+            List<RunningTask> running,
+            List<EndedTask> ended,
+            boolean moreEnded) {}
 
     /**
      * Request to start a task; the fields are those of {@link
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/WorkAgent.java
@@ -75,6 +75,7 @@
     private long listsOperation;
     private List<RunningTask> running = List.of();
     private List<EndedTask> ended = List.of();
+    private boolean moreEnded;
 
     /** Number of the current series of reads; the answers to reads of an earlier one are ignored. */
     private long readSeries;
@@ -236,6 +237,7 @@
         acknowledged = 0;
         running = List.of();
         ended = List.of();
+        moreEnded = false;
         listsOperation = 0;
         listsTerm = 0;
         orders.drop();
@@ -337,6 +339,7 @@
         serverGone = false;
         running = reply.running();
         ended = reply.ended();
+        moreEnded = reply.moreEnded();
         listsOperation = number;
         listsTerm = term;
         if (changed) {
@@ -359,7 +362,8 @@
                 now,
                 listsOperation,
                 running,
-                ended));
+                ended,
+                moreEnded));
     }
 
     private boolean acceptsTasks() {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/Reconciliation.java
@@ -19,7 +19,8 @@
  * <p>A confirmed run that is missing in a report has ended only if the agent read the report's lists after the
  * confirmation. The agent numbers its calls to the server to establish this order. Numbers of two agent processes are
  * not comparable, so that after a restart of the agent every list that it has read counts as newer. Treating every list
- * of a new connection as newer would lose runs, because the agent sends its last lists again.
+ * of a new connection as newer would lose runs, because the agent sends its last lists again. While the list of ended
+ * runs is incomplete, no missing run counts as ended: it may have succeeded, and would be repeated.
  */
 final class Reconciliation {
     private static final Logger LOGGER = LoggerFactory.getLogger(Reconciliation.class);
@@ -63,6 +64,10 @@
                 updateRun(run, task, report.operation(), now);
             }
         });
+        server.reconciled = true;
+        if (report.moreEnded()) {
+            return;
+        }
         List<Run> missing = server.runs.values().stream()
                 .filter(run -> !running.containsKey(run.key()))
                 .filter(run -> run.state == RunState.RECOVERED
@@ -72,7 +77,6 @@
             LOGGER.info("task {} attempt {} is no longer on backend server {}", run.task.name, run.attempt, server.id);
             lifecycle.removeHarmless(run, now);
         });
-        server.reconciled = true;
     }
 
     private void stopOrphanedRun(ServerState server, String key, RunningTask task) {
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/AgentScenario.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/AgentScenario.java
@@ -55,7 +55,7 @@
                 lastRenewalAt = now;
             }
             return answering && request.server().equals(server)
-                    ? Future.succeededFuture(new LeaseRenewalResponse(incarnation, now, List.of(), List.of()))
+                    ? Future.succeededFuture(new LeaseRenewalResponse(incarnation, now, List.of(), List.of(), false))
                     : Future.failedFuture("no answer");
         }
 
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/WorkAgentTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/agent/WorkAgentTest.java
@@ -31,7 +31,7 @@
     private final class ImmediateClient implements BackendServerClient {
         @Override
         public Future<LeaseRenewalResponse> renewLeases(LeaseRenewalRequest request) {
-            return Future.succeededFuture(new LeaseRenewalResponse(1, 1_000, List.of(), List.of()));
+            return Future.succeededFuture(new LeaseRenewalResponse(1, 1_000, List.of(), List.of(), false));
         }
 
         @Override
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/placer/FakeServer.java
@@ -56,6 +56,9 @@
     /** Whether the server does not answer its agent, which reports its last lists and gets no orders carried out. */
     boolean silent;
 
+    /** Largest number of ended runs in a report. */
+    int maximumReportedEnds = Integer.MAX_VALUE;
+
     /** How the runs of this server end. */
     EndKind endKind = EndKind.DONE;
 
@@ -128,6 +131,7 @@
 
     private int startingReports;
     private List<RunningTask> firstLists = List.of();
+    private List<EndedTask> firstEnds = List.of();
     private AgentConnection oldConnection;
     private WorkMessage.ServerReport oldReport;
     private long connections;
@@ -338,10 +342,15 @@
                 now,
                 silent ? operation : ++operation,
                 silent ? lastReport.running() : runningTasks(),
-                silent ? lastReport.ended() : List.copyOf(ended));
+                silent ? lastReport.ended() : reportedEnds(),
+                silent ? lastReport.moreEnded() : ended.size() >= maximumReportedEnds);
         outbox.add(lastReport);
     }
 
+    private List<EndedTask> reportedEnds() {
+        return ended.stream().limit(maximumReportedEnds).toList();
+    }
+
     /** Reports the lists that were read last, as the agent of a server that does not answer does. */
     private void reportCrashed() {
         lastReport = new WorkMessage.ServerReport(
@@ -361,13 +370,23 @@
     private void reportWhileStarting() {
         if (startingReports == 2) {
             firstLists = runningTasks();
+            firstEnds = reportedEnds();
             operation = 1;
             outbox.add(new WorkMessage.ServerReport(
                     description, agentIncarnation, 0, draining, true, now, 0, List.of(), List.of()));
             nextReport = now + SLOW_READ_MILLISECONDS;
         } else {
             outbox.add(new WorkMessage.ServerReport(
-                    description, agentIncarnation, term, draining, true, now, 1, firstLists, List.of()));
+                    description,
+                    agentIncarnation,
+                    term,
+                    draining,
+                    true,
+                    now,
+                    1,
+                    firstLists,
+                    firstEnds,
+                    firstEnds.size() >= maximumReportedEnds));
             nextReport = now;
         }
         startingReports--;
