Count the queued bytes of a connection and not its queued messages

Cause: writeQueueFull of the socket, called on another thread than the event loop, counts the messages that wait for the event loop.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageConnection.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/MessageConnection.java
@@ -34,6 +34,13 @@
     private final RecordParser parser;
     private final AtomicLong bytesSent = new AtomicLong();
     private final AtomicLong bytesReceived = new AtomicLong();
+
+    /**
+     * Bytes that were sent and are not written to the network. The socket's own queue counts as full after a few
+     * messages that another thread has sent, whatever their size.
+     */
+    private final AtomicLong queuedBytes = new AtomicLong();
+
     private boolean expectingLength = true;
     private volatile boolean open;
 
@@ -84,10 +91,11 @@
         if (!open) {
             return false;
         }
-        if (socket.writeQueueFull()) {
+        if (queuedBytes.get() > MAXIMUM_WRITE_QUEUE_BYTES) {
             LOGGER.warn(
-                    "closing the connection to {}: write queue is full, the peer does not read fast enough",
-                    socket.remoteAddress());
+                    "closing the connection to {}: {} bytes are queued, the peer does not read fast enough",
+                    socket.remoteAddress(),
+                    queuedBytes.get());
             close();
             return false;
         }
@@ -117,7 +125,6 @@
     }
 
     private void registerHandlers() {
-        socket.setWriteQueueMaxSize(MAXIMUM_WRITE_QUEUE_BYTES);
         socket.handler(buffer -> {
             bytesReceived.addAndGet(buffer.length());
             parser.handle(buffer);
@@ -131,10 +138,11 @@
 
     private void write(Message message) {
         byte[] frame = MessageCodec.encode(message);
-        bytesSent.addAndGet(frame.length + LENGTH_PREFIX_BYTES);
-        socket.write(Buffer.buffer(frame.length + LENGTH_PREFIX_BYTES)
-                .appendInt(frame.length)
-                .appendBytes(frame));
+        int length = frame.length + LENGTH_PREFIX_BYTES;
+        bytesSent.addAndGet(length);
+        queuedBytes.addAndGet(length);
+        socket.write(Buffer.buffer(length).appendInt(frame.length).appendBytes(frame))
+                .onComplete(written -> queuedBytes.addAndGet(-length));
     }
 
     private void handleParsed(Buffer buffer) {
