Refuse documents that are nested too deeply before they are parsed

Cause: the parser calls itself for each level. The stacks of 256 KB of the deployed programs overflow before its own limit of 1,000 levels, and a StackOverflowError is no exception.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/http/JsonFields.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/http/JsonFields.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.store.JsonDocuments;
 
 /**
  * Typed access to the fields of one JSON object of a request. Every error is a {@link TeaselwoodException} of kind
@@ -35,7 +36,7 @@
             throw badRequest("the body is empty; a JSON object is expected");
         }
         try {
-            return new JsonFields(new JsonObject(body), "");
+            return new JsonFields(JsonDocuments.parse(body), "");
         } catch (DecodeException | ClassCastException exception) {
             throw TeaselwoodException.causedBy(exception, ErrorKind.BAD_REQUEST, "the body is not a JSON object");
         }
--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryRegistration.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryRegistration.java
@@ -2,7 +2,6 @@
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
@@ -12,6 +11,7 @@
 import org.slf4j.LoggerFactory;
 import org.teaselwood.metrics.ProcessMetrics;
 import org.teaselwood.protocol.message.AgentCommand.EntryAddress;
+import org.teaselwood.store.JsonDocuments;
 import org.teaselwood.store.KeyValue;
 import org.teaselwood.store.KeyValueOperation;
 import org.teaselwood.store.KeyValueService;
@@ -123,7 +123,7 @@
 
     private static Stream<EntryAddress> decode(KeyValue registered) {
         try {
-            JsonObject json = new JsonObject(Buffer.buffer(registered.value()));
+            JsonObject json = JsonDocuments.parse(registered.value());
             return Stream.of(new EntryAddress(
                     json.getString("entry"),
                     json.getString("dataCentre"),
--- a/teaselwood-store/src/main/java/org/teaselwood/store/configuration/ConfigurationDocuments.java
+++ b/teaselwood-store/src/main/java/org/teaselwood/store/configuration/ConfigurationDocuments.java
@@ -1,6 +1,5 @@
 package org.teaselwood.store.configuration;
 
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.List;
@@ -18,6 +17,7 @@
 import org.teaselwood.model.TeaselwoodException;
 import org.teaselwood.model.Template;
 import org.teaselwood.model.WorkKind;
+import org.teaselwood.store.JsonDocuments;
 
 /**
  * Encoder and decoder of the JSON documents of the configuration, one document for each object. Thread-safe.
@@ -162,7 +162,7 @@
     }
 
     private static JsonObject parse(byte[] document) {
-        return new JsonObject(Buffer.buffer(document));
+        return JsonDocuments.parse(document);
     }
 
     private static String text(JsonObject json, String field) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/PlacerLink.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/PlacerLink.java
@@ -1,7 +1,6 @@
 package org.teaselwood.workload.agent;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetClient;
@@ -15,6 +14,7 @@
 import org.teaselwood.protocol.SharedKey;
 import org.teaselwood.protocol.message.Message;
 import org.teaselwood.protocol.message.WorkMessage;
+import org.teaselwood.store.JsonDocuments;
 import org.teaselwood.store.KeyValue;
 import org.teaselwood.store.KeyValueService;
 import org.teaselwood.workload.record.WorkloadKeys;
@@ -71,7 +71,7 @@
     /** Decodes the value of the election key; returns empty if it is malformed. */
     public static Optional<PlacerLocation> decode(KeyValue item) {
         try {
-            JsonObject json = new JsonObject(Buffer.buffer(item.value()));
+            JsonObject json = JsonDocuments.parse(item.value());
             return Optional.of(new PlacerLocation(
                     item.revision(), json.getString("entry"), json.getString("host"), json.getInteger("port")));
         } catch (DecodeException | ClassCastException | NullPointerException exception) {
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -1,6 +1,5 @@
 package org.teaselwood.workload.record;
 
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -13,6 +12,7 @@
 import java.util.stream.IntStream;
 import org.teaselwood.model.ErrorKind;
 import org.teaselwood.model.TeaselwoodException;
+import org.teaselwood.store.JsonDocuments;
 import org.teaselwood.workload.model.AdviceSettings;
 import org.teaselwood.workload.model.JobSpecification;
 import org.teaselwood.workload.model.QueueSettings;
@@ -259,7 +259,7 @@
 
     private static <T> T decode(byte[] value, Function<JsonObject, T> reader) {
         try {
-            return reader.apply(new JsonObject(Buffer.buffer(value)));
+            return reader.apply(JsonDocuments.parse(value));
         } catch (DecodeException
                 | ClassCastException
                 | NullPointerException
