Ignore addresses that cannot be used and replace an invalid election key

Ports are checked before they are converted; an election key without a usable address is replaced by the next election.

--- a/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryRegistration.java
+++ b/teaselwood-entry/src/main/java/org/teaselwood/entry/process/EntryRegistration.java
@@ -6,6 +6,7 @@
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,6 +27,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(EntryRegistration.class);
     private static final long LEASE_SECONDS = 10;
     private static final long RENEWAL_INTERVAL_MILLISECONDS = 3_000;
+    private static final int MAXIMUM_PORT = 65_535;
     private static final String PREFIX = "/teaselwood/entries/";
 
     private final Vertx vertx;
@@ -121,15 +123,24 @@
         return PREFIX + region + "/" + self.entry();
     }
 
-    private static Stream<EntryAddress> decode(KeyValue registered) {
+    /** Returns a port; fails if it is out of range, because an attempt to connect would fail unexpectedly. */
+    private static int port(long number) {
+        if (number < 1 || number > MAXIMUM_PORT) {
+            throw new IllegalArgumentException("port " + number);
+        }
+        return (int) number;
+    }
+
+    /** Decodes an address; returns an empty stream if it is invalid. */
+    static Stream<EntryAddress> decode(KeyValue registered) {
         try {
             JsonObject json = JsonDocuments.parse(registered.value());
             return Stream.of(new EntryAddress(
-                    json.getString("entry"),
-                    json.getString("dataCentre"),
-                    json.getString("host"),
-                    json.getInteger("port")));
-        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+                    Objects.requireNonNull(json.getString("entry"), "entry"),
+                    Objects.requireNonNull(json.getString("dataCentre"), "dataCentre"),
+                    Objects.requireNonNull(json.getString("host"), "host"),
+                    port(json.getLong("port"))));
+        } catch (DecodeException | ClassCastException | NullPointerException | IllegalArgumentException exception) {
             LOGGER.warn("ignoring key {}: the value is not a valid entry address", registered.key());
             return Stream.empty();
         }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/PlacerLink.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/PlacerLink.java
@@ -73,8 +73,15 @@
         try {
             JsonObject json = JsonDocuments.parse(item.value());
             return Optional.of(new PlacerLocation(
-                    item.revision(), json.getString("entry"), json.getString("host"), json.getInteger("port")));
-        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+                    item.revision(),
+                    json.getString("entry"),
+                    json.getString("host"),
+                    Math.toIntExact(json.getLong("port"))));
+        } catch (DecodeException
+                | ClassCastException
+                | NullPointerException
+                | ArithmeticException
+                | IllegalArgumentException exception) {
             LOGGER.warn("could not decode the election key: {}", exception.getMessage());
             return Optional.empty();
         }
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
@@ -189,12 +189,22 @@
         if (stopped || !eligible || operationInProgress || clock.nowMilliseconds() < candidateAgainAt) {
             return;
         }
-        item.filter(found -> !isOwn(found)).flatMap(PlacerLink::decode).ifPresent(failureDetector::monitor);
         if (item.isEmpty()) {
             scheduleCampaign(0);
-        } else if (isOwn(item.get())) {
-            campaign(item.get().revision());
+            return;
         }
+        long revision = item.get().revision();
+        PlacerLink.decode(item.get())
+                .ifPresentOrElse(
+                        found -> {
+                            if (isCandidate(found)) {
+                                campaign(revision);
+                            } else {
+                                failureDetector.monitor(found);
+                            }
+                        },
+                        // No agent can find a placer by this key, and nobody may ever delete it.
+                        () -> scheduleCampaign(revision));
     }
 
     private void placerUnreachable(long failedTerm) {
@@ -213,10 +223,6 @@
         });
     }
 
-    private boolean isOwn(KeyValue item) {
-        return PlacerLink.decode(item).filter(found -> isCandidate(found)).isPresent();
-    }
-
     private boolean isCandidate(PlacerLocation found) {
         return found.entry().equals(candidate.entry()) && found.host().equals(candidate.host());
     }
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/entry/TermElectionTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/entry/TermElectionTest.java
@@ -1,6 +1,7 @@
 package org.teaselwood.workload.entry;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import io.vertx.core.Vertx;
 import java.util.concurrent.CompletableFuture;
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.teaselwood.protocol.MonotonicClock;
+import org.teaselwood.workload.record.WorkloadKeys;
 
 /** Guards against entries without a working placer: one that has failed must not keep the others from being elected. */
 final class TermElectionTest {
@@ -55,6 +57,14 @@
         assertThat(elections.poll(1, TimeUnit.SECONDS)).isNull();
     }
 
+    /** Guards against an election key of another writer, which would keep all entries out of the election for ever. */
+    @Test
+    void an_entry_is_elected_in_place_of_an_invalid_election_key() throws Exception {
+        store.put(WorkloadKeys.PLACER, "{\"entry\":\"e\",\"host\":\"h\",\"port\":70000}".getBytes(UTF_8));
+        start("first");
+        assertThat(nextElection().entry()).isEqualTo("first");
+    }
+
     private TermElection start(String entry) throws Exception {
         TermElection election = new TermElection(
                 vertx,
