Check the numbers of stored jobs and read the others beside an odd one

Numbers are now checked before they are converted, the sum of the tasks is computed without an overflow, and an exception concerns only its own item.

--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
@@ -311,6 +311,8 @@
             }
         } catch (TeaselwoodException exception) {
             LOGGER.error("could not decode the value of {}: {}", item.key(), exception.getMessage());
+        } catch (RuntimeException exception) {
+            LOGGER.error("could not apply the value of {}", item.key(), exception);
         }
     }
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/model/JobSpecification.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/model/JobSpecification.java
@@ -32,10 +32,15 @@
     /** Creates a specification with a copy of the list; fails if the job has too many tasks in all occurrences. */
     public JobSpecification {
         steps = List.copyOf(steps);
-        long tasks = Math.max(1, occurrences)
-                * steps.stream().mapToLong(StepSpecification::count).sum();
-        if (tasks > MAXIMUM_TASKS) {
-            throw new IllegalArgumentException(tasks + " tasks in all occurrences");
+        long tasks = steps.stream().mapToLong(StepSpecification::count).sum();
+        // Each factor is checked before the multiplication, which may overflow.
+        if (steps.isEmpty()
+                || steps.stream().anyMatch(step -> step.count() < 1)
+                || tasks > MAXIMUM_TASKS
+                || occurrences > MAXIMUM_TASKS
+                || Math.max(1, occurrences) * tasks > MAXIMUM_TASKS) {
+            throw new IllegalArgumentException(
+                    steps.size() + " steps with " + tasks + " tasks, " + occurrences + " occurrences");
         }
     }
 
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/record/WorkloadJson.java
@@ -32,6 +32,9 @@
     /** Position of the crashes after starts of a task, likewise. */
     private static final int CRASHES = 8;
 
+    /** Largest number of an accepted job; a product with its occurrences does not overflow. */
+    private static final double MAXIMUM_NUMBER = 0x1p45;
+
     private WorkloadJson() {}
 
     /** Encodes an accepted job. */
@@ -62,9 +65,9 @@
                         JsonArrays.objects(json.getJsonArray("steps"))
                                 .map(WorkloadJson::step)
                                 .toList(),
-                        json.getLong("startAt"),
-                        json.getLong("interval"),
-                        json.getInteger("occurrences"),
+                        number(json, "startAt"),
+                        number(json, "interval"),
+                        integer(json, "occurrences"),
                         Optional.ofNullable(json.getJsonObject("queueSettings")).map(WorkloadJson::queueSettings)));
     }
 
@@ -194,22 +197,36 @@
         return Objects.requireNonNullElse(json.getString(name), "");
     }
 
+    /** Returns a number from 0 to 2^45. The accessors of a JSON object truncate larger ones. */
+    private static long number(JsonObject json, String name) {
+        Number value = json.getNumber(name);
+        if (!(value.doubleValue() >= 0 && value.doubleValue() <= MAXIMUM_NUMBER)) {
+            throw new IllegalArgumentException(name + " is " + value);
+        }
+        return value.longValue();
+    }
+
+    /** Returns a number from 0 to the largest integer. */
+    private static int integer(JsonObject json, String name) {
+        return Math.toIntExact(number(json, name));
+    }
+
     private static StepSpecification step(JsonObject json) {
         return new StepSpecification(
-                json.getInteger("count"),
-                new Resources(json.getLong("milliCores"), json.getLong("memory"), json.getInteger("accelerators")),
-                json.getLong("estimate"),
+                integer(json, "count"),
+                new Resources(number(json, "milliCores"), number(json, "memory"), integer(json, "accelerators")),
+                number(json, "estimate"),
                 JsonArrays.integers(json.getJsonArray("after")).toList(),
                 json.getBoolean("checkpointing"),
                 json.getBoolean("gang"),
                 json.getBoolean("sameRack"),
                 textOrEmpty(json, "selector"),
                 textOrEmpty(json, "affinityRack"),
-                json.getInteger("maximumPerServer"),
+                integer(json, "maximumPerServer"),
                 json.getBoolean("longRunning"),
                 json.getBoolean("fills"),
-                json.getLong("latencyTarget"),
-                json.getInteger("mayMiss"));
+                number(json, "latencyTarget"),
+                integer(json, "mayMiss"));
     }
 
     private static StepRecord stepRecord(JsonObject json) {
@@ -264,6 +281,7 @@
                 | ClassCastException
                 | NullPointerException
                 | IllegalArgumentException
+                | ArithmeticException
                 | IndexOutOfBoundsException exception) {
             throw TeaselwoodException.causedBy(exception, ErrorKind.BAD_FRAME, String.valueOf(exception.getMessage()));
         }
