--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/RecordCodec.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/RecordCodec.java
@@ -29,8 +29,8 @@
  * <p>The codec uses reflection, so that adding a message requires only its record and wire number. Components may be
  * int, long, double, boolean, String, byte[], enums, records, and List, Set, Map and Optional of these. Trailing
  * elements that the receiver does not know are skipped, so that a newer sender can add fields during a rolling upgrade.
- * For the same reason, a trailing boolean with {@link AbsentInEarlierBuilds} is false if it is missing; any other missing
- * field is refused.
+ * For the same reason, a trailing boolean with {@link AbsentInEarlierBuilds} is false if it is missing; any other
+ * missing field is refused.
  */
 final class RecordCodec {
     private final Map<Class<?>, Layout> layouts = new ConcurrentHashMap<>();
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/PlacerLocation.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/agent/PlacerLocation.java
@@ -13,7 +13,7 @@
 public record PlacerLocation(long term, String entry, String host, int port) {
     private static final int MAXIMUM_PORT = 65_535;
 
-    /** Fails if a text is missing or the port is out of range, because an attempt to connect would fail unexpectedly. */
+    /** Fails if a text is missing or the port is out of range: an attempt to connect would fail unexpectedly. */
     public PlacerLocation {
         Objects.requireNonNull(entry, "entry");
         Objects.requireNonNull(host, "host");
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/PlacerEventHandler.java
@@ -149,7 +149,7 @@
         withPlacer(activePlacer -> activePlacer.advance(now));
     }
 
-    /** Gives up the term; a placer with a damaged state might start tasks twice, and one without a state does nothing. */
+    /** Gives up the term: a placer with a damaged state might start tasks twice, and one without state does nothing. */
     @Override
     public void discardState() {
         long failedTerm = term;
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/entry/TermElection.java
@@ -104,7 +104,7 @@
         }
     }
 
-    /** Steps down after the placer of the given term has failed, and leaves the election to other entries for a while. */
+    /** Steps down after the placer of a term has failed, and leaves the election to other entries for a while. */
     public void placerFailed(long failedTerm) {
         if (term == failedTerm && term != 0) {
             candidateAgainAt = clock.nowMilliseconds() + FAILURE_DELAY_MILLISECONDS;
--- a/teaselwood-workload/src/test/java/org/teaselwood/workload/entry/PlacerEventHandlerTest.java
+++ b/teaselwood-workload/src/test/java/org/teaselwood/workload/entry/PlacerEventHandlerTest.java
@@ -129,7 +129,7 @@
         awaitAnswer();
     }
 
-    /** Guards against a placer whose thread has ended while its entry keeps the election: nothing would start any more. */
+    /** Guards against a placer whose thread has ended while its entry keeps the election. */
     @Test
     void a_placer_that_fails_with_an_error_gives_up_its_term_and_works_in_the_next_one() throws Exception {
         awaitAnswer();
