--- a/teaselwood-protocol/src/test/java/org/teaselwood/protocol/MessageConnectionTest.java
+++ b/teaselwood-protocol/src/test/java/org/teaselwood/protocol/MessageConnectionTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
@@ -26,6 +27,11 @@
     private final Vertx vertx = Vertx.vertx();
     private final CompletableFuture<MessageConnection> accepted = new CompletableFuture<>();
     private final CountDownLatch received = new CountDownLatch(MESSAGES);
+    private final CountDownLatch bothClosed = new CountDownLatch(2);
+
+    /** Context of the client's socket, which may be used only there. */
+    private final Context clientContext = vertx.getOrCreateContext();
+
     private NetSocket clientSocket;
 
     @BeforeEach
@@ -33,10 +39,12 @@
         NetServer server = vertx.createNetServer()
                 .connectHandler(socket -> MessageConnection.accept(socket, SharedKey.withoutSecret(), new Receiver()));
         int port = await(server.listen(0, "127.0.0.1")).actualPort();
-        await(vertx.createNetClient().connect(port, "127.0.0.1").map(socket -> {
-            clientSocket = socket;
-            return MessageConnection.connect(socket, SharedKey.withoutSecret(), new Receiver());
-        }));
+        clientContext.runOnContext(ignored -> vertx.createNetClient()
+                .connect(port, "127.0.0.1")
+                .onSuccess(socket -> {
+                    clientSocket = socket;
+                    MessageConnection.connect(socket, SharedKey.withoutSecret(), new Receiver());
+                }));
         accepted.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
@@ -57,7 +65,7 @@
     @Test
     void the_connection_to_a_peer_that_does_not_read_is_closed() throws Exception {
         CompletableFuture<Void> paused = new CompletableFuture<>();
-        vertx.runOnContext(ignored -> {
+        clientContext.runOnContext(ignored -> {
             clientSocket.pause();
             paused.complete(null);
         });
@@ -69,6 +77,8 @@
         }
         assertThat(sent).isLessThan(MESSAGES);
         assertThat(accepted.get().isOpen()).isFalse();
+        clientContext.runOnContext(ignored -> clientSocket.close());
+        assertThat(bothClosed.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
     }
 
     private static WorkMessage order(int number, int payloadCharacters) {
@@ -93,6 +103,8 @@
         }
 
         @Override
-        public void closed(MessageConnection connection) {}
+        public void closed(MessageConnection connection) {
+            bothClosed.countDown();
+        }
     }
 }
