Do not end the duty thread when the same error is thrown twice

The virtual machine may throw the same OutOfMemoryError object again, which must not suppress itself, and adding needs memory; either would have ended the thread after all.

Evidence: DutyThreadTest now throws the same object twice; it failed before.

--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/DutyThread.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/DutyThread.java
@@ -36,6 +36,8 @@
     /** Error after which the handler has not discarded its state yet, null if there is none. */
     private Error unhandledError;
 
+    private int failedDiscards;
+
     /**
      * Handler of events and ticks, called only on the duty thread.
      *
@@ -137,14 +139,21 @@
         }
     }
 
-    /** Discards the state before the error is logged, because the log line needs memory too. */
+    /**
+     * Discards the state before the error is logged, because the log line needs memory too. A failed attempt is only
+     * counted: anything that needs memory could fail again and end the thread.
+     */
     private void discardState() {
         try {
             handler.discardState();
-            LOGGER.error("event handler failed with an error; its state was discarded", unhandledError);
+            LOGGER.error(
+                    "event handler failed with an error; {} attempts to discard its state failed before",
+                    failedDiscards,
+                    unhandledError);
             unhandledError = null;
+            failedDiscards = 0;
         } catch (RuntimeException | Error failure) {
-            unhandledError.addSuppressed(failure);
+            failedDiscards++;
             LockSupport.parkNanos(tickMilliseconds * 1_000_000);
         }
     }
--- a/teaselwood-protocol/src/test/java/org/teaselwood/protocol/DutyThreadTest.java
+++ b/teaselwood-protocol/src/test/java/org/teaselwood/protocol/DutyThreadTest.java
@@ -51,11 +51,13 @@
         assertThat(nextCall()).isEqualTo("handled");
     }
 
+    /** The virtual machine may throw the same object each time, because it has no memory for another. */
     @Test
     void an_error_while_the_state_is_discarded_does_not_end_the_thread() throws Exception {
-        errorOfDiscard = new OutOfMemoryError("test");
+        OutOfMemoryError error = new OutOfMemoryError("test");
+        errorOfDiscard = error;
         thread.offer(() -> {
-            throw new OutOfMemoryError("test");
+            throw error;
         });
         thread.offer(() -> calls.add("handled"));
         assertThat(nextCall()).isEqualTo("discarded");
--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/OccurrenceAdmission.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/OccurrenceAdmission.java
@@ -27,6 +27,7 @@
     /** Room for small occurrences beyond {@link #MAXIMUM_TASKS}. */
     private static final long ADDITIONAL_TASKS = 20_000;
 
+    /** Tasks with a state, counted in each call of {@link #admit}. */
     private long tasks;
 
     /** Begins due occurrences of open jobs as far as the limits allow. */
