--- a/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/OccurrenceAdmission.java
+++ b/teaselwood-workload/src/main/java/org/teaselwood/workload/placer/OccurrenceAdmission.java
@@ -15,13 +15,13 @@
  * they do not wait for a few large jobs.
  */
 final class OccurrenceAdmission {
-    /** Tasks with a state; about 250 bytes each, in a heap of 96 MB. */
+    /** Tasks with a state at the same time; the entries have a heap of 96 MB. */
     static final long MAXIMUM_TASKS = 40_000;
 
     /** Tasks of the overlapping occurrences of one job; a single occurrence may have more. */
     static final long MAXIMUM_TASKS_OF_JOB = 2_000;
 
-    /** Tasks of an occurrence that may use the additional room. */
+    /** Largest number of tasks of an occurrence that may use the additional room. */
     private static final long SMALL_OCCURRENCE_TASKS = 200;
 
     /** Room for small occurrences beyond {@link #MAXIMUM_TASKS}. */
