--- a/teaselwood-protocol/src/main/java/org/teaselwood/protocol/DutyThread.java
+++ b/teaselwood-protocol/src/main/java/org/teaselwood/protocol/DutyThread.java
@@ -15,7 +15,7 @@
  * read first; the caller limits their number.
  *
  * <p>Invariant: the thread ends only when it is closed. A handler that fails with an exception handles the next event;
- * one that fails with an error discards its state before.
+ * one that fails with an error discards its state first.
  *
  * @param <E> type of the events
  */
